--- /dev/null
+++ b/packages/agreement/src/prefix.ts
@@ -0,0 +1,76 @@
+import ipaddr from 'ipaddr.js';
+
+/** The longest IPv6 prefix that a client block may have, in bits. */
+export const MAX_IPV6_PREFIX_BITS = 64;
+
+/** A client block's address range. IPv6 keeps its upper 64 bits, which are all a block may use. */
+export type Prefix = {
+	readonly family: 4 | 6;
+	/** Upper 32 bits of the address. */
+	readonly high: number;
+	/** Next 32 bits; 0 for IPv4. */
+	readonly low: number;
+	/** Length in bits. */
+	readonly bits: number;
+};
+
+export type ParsedPrefix = {readonly ok: true; readonly prefix: Prefix} | {readonly ok: false; readonly reason: string};
+
+/** Parses `ADDRESS/BITS`; refuses set host bits, so that one block has one spelling. */
+export function parsePrefix(text: string): ParsedPrefix {
+	const [address = '', length = ''] = text.split('/', 2);
+	const parsed = parseAddress(address);
+	const bits = /^\d{1,3}$/.test(length) ? Number(length) : -1;
+	if (!parsed || bits < 0 || bits > (parsed.family === 4 ? 32 : 128)) {
+		return {ok: false, reason: `"${text}" is not a client block; write it as 192.0.2.0/24 or 2001:db8::/48`};
+	}
+
+	if (parsed.family === 6 && bits > MAX_IPV6_PREFIX_BITS) {
+		return {ok: false, reason: `"${text}" is longer than /${MAX_IPV6_PREFIX_BITS}; use /${MAX_IPV6_PREFIX_BITS} or shorter`};
+	}
+
+	const high = maskWord(parsed.high, bits);
+	const low = maskWord(parsed.low, bits - 32);
+	if (high !== parsed.high || low !== parsed.low) {
+		return {ok: false, reason: `"${text}" has bits set behind its length; clear them`};
+	}
+
+	return {ok: true, prefix: {...parsed, bits}};
+}
+
+/** Parses an IP number; an IPv4 address mapped into IPv6 counts as IPv4. */
+export function parseAddress(text: string): Omit<Prefix, 'bits'> | undefined {
+	if (ipaddr.IPv4.isValidFourPartDecimal(text)) {
+		return toIpv4(ipaddr.IPv4.parse(text).octets);
+	}
+
+	if (!text.includes(':') || text.includes('%') || !ipaddr.IPv6.isValid(text)) {
+		return undefined;
+	}
+
+	const address = ipaddr.IPv6.parse(text);
+	if (address.isIPv4MappedAddress()) {
+		return toIpv4(address.toIPv4Address().octets);
+	}
+
+	const [a = 0, b = 0, c = 0, d = 0] = address.parts;
+	return {family: 6, high: joinWords(a, b), low: joinWords(c, d)};
+}
+
+/** Clears all but the first `bits` bits of a 32-bit word. */
+export function maskWord(word: number, bits: number): number {
+	if (bits <= 0) {
+		return 0;
+	}
+
+	return bits >= 32 ? word : (word & (-1 << (32 - bits))) >>> 0;
+}
+
+function toIpv4(octets: readonly number[]): Omit<Prefix, 'bits'> {
+	const [a = 0, b = 0, c = 0, d = 0] = octets;
+	return {family: 4, high: joinWords((a << 8) | b, (c << 8) | d), low: 0};
+}
+
+function joinWords(upper: number, lower: number): number {
+	return ((upper << 16) | lower) >>> 0;
+}
--- /dev/null
+++ b/packages/agreement/src/state.ts
@@ -0,0 +1,110 @@
+import {
+	DrainKind, Repeat, type Agreement, type Cap, type Link, type Member, type Region, type Service, type Shift, type Worker,
+} from './types.js';
+
+/** One version of the agreement with the indexes that decisions read. Never changed after it is built. */
+export class AgreementState {
+	readonly regions: ReadonlyMap<string, Region>;
+	readonly services: ReadonlyMap<string, Service>;
+	readonly workers: ReadonlyMap<string, Worker>;
+	readonly members: ReadonlyMap<string, Member>;
+	readonly links: ReadonlyMap<string, Link>;
+	readonly #zoneRegion = new Map<string, string>();
+	readonly #siteZone = new Map<string, string>();
+	readonly #drains: ReadonlySet<string>;
+	readonly #workersByPlace = new Map<string, Worker[]>();
+
+	constructor(readonly version: number, readonly agreement: Agreement) {
+		this.regions = indexByName(agreement.regions);
+		this.services = indexByName(agreement.services);
+		this.workers = indexByName(agreement.workers);
+		this.members = indexByName(agreement.members);
+		this.links = new Map(agreement.links.map(link => [`${link.from}>${link.to}`, link]));
+		this.#drains = new Set(agreement.drains.map(drain => `${drain.kind}/${drain.name}`));
+		this.#indexPlaces();
+	}
+
+	regionOfZone(zone: string): string | undefined {
+		return this.#zoneRegion.get(zone);
+	}
+
+	zoneOfSite(site: string): string | undefined {
+		return this.#siteZone.get(site);
+	}
+
+	regionOfSite(site: string): string | undefined {
+		const zone = this.#siteZone.get(site);
+		return zone === undefined ? undefined : this.#zoneRegion.get(zone);
+	}
+
+	regionOfWorker(worker: Worker): string | undefined {
+		return this.regionOfSite(worker.site);
+	}
+
+	/** The workers of a service in a region, drained ones included. */
+	workersIn(region: string, service: string): readonly Worker[] {
+		return this.#workersByPlace.get(`${region}/${service}`) ?? [];
+	}
+
+	isDrained(kind: DrainKind, name: string): boolean {
+		return this.#drains.has(`${kind}/${name}`);
+	}
+
+	/** Whether the worker itself, or any place it stands in, is drained. */
+	isWorkerDrained(worker: Worker): boolean {
+		if (this.#drains.size === 0) {
+			return false;
+		}
+
+		return this.isDrained(DrainKind.Worker, worker.name)
+			|| this.isDrained(DrainKind.Site, worker.site)
+			|| this.isPlaceDrained(this.zoneOfSite(worker.site) ?? '');
+	}
+
+	/** Whether a zone, or the region it stands in, is drained. */
+	isPlaceDrained(zone: string): boolean {
+		return this.isDrained(DrainKind.Zone, zone) || this.isDrained(DrainKind.Region, this.regionOfZone(zone) ?? '');
+	}
+
+	/** The shifts that let a service's callers cross from one region, in the agreement's order. */
+	shiftsFrom(region: string, service: string): Shift[] {
+		return this.agreement.shifts.filter(shift => shift.from === region && (shift.service === '*' || shift.service === service));
+	}
+
+	/** The caps on a member that a request of a service counts against; empty when it may not use the service. */
+	capsOf(member: Member, service: string): Cap[] {
+		return member.caps.filter(cap => cap.service === '*' || cap.service === service);
+	}
+
+	/** What may be done again with a request of this method. */
+	repeatOf(service: Service, method: string): Repeat {
+		const methods: readonly string[] = service.idempotentMethods;
+		return methods.includes(method) ? Repeat.Idempotent : service.repeat;
+	}
+
+	#indexPlaces(): void {
+		for (const region of this.agreement.regions) {
+			for (const zone of region.zones) {
+				this.#zoneRegion.set(zone, region.name);
+			}
+		}
+
+		for (const site of this.agreement.sites) {
+			this.#siteZone.set(site.name, site.zone);
+		}
+
+		for (const worker of this.agreement.workers) {
+			const key = `${this.regionOfSite(worker.site) ?? ''}/${worker.service}`;
+			const list = this.#workersByPlace.get(key);
+			if (list) {
+				list.push(worker);
+			} else {
+				this.#workersByPlace.set(key, [worker]);
+			}
+		}
+	}
+}
+
+function indexByName<T extends {readonly name: string}>(items: readonly T[]): Map<string, T> {
+	return new Map(items.map(item => [item.name, item]));
+}
--- /dev/null
+++ b/packages/clock/src/index.ts
@@ -0,0 +1,5 @@
+export {
+	SystemClock, sleep, type Clock, type Timer,
+} from './clock.js';
+export {FakeClock} from './fake.js';
+export {SystemRandom, jitter, type Random} from './random.js';
--- /dev/null
+++ b/packages/clock/src/random.ts
@@ -0,0 +1,17 @@
+/** Source of chance. */
+export interface Random {
+	/** A number in `[0, 1)`. */
+	next(): number;
+}
+
+/** The runtime's own generator. */
+export class SystemRandom implements Random {
+	next(): number {
+		return Math.random();
+	}
+}
+
+/** Spreads a span over `[1 - part, 1 + part)` times its length. */
+export function jitter(random: Random, spanMs: number, part: number): number {
+	return spanMs * (1 + (part * ((2 * random.next()) - 1)));
+}
--- /dev/null
+++ b/packages/daemon/src/control/agreement.ts
@@ -0,0 +1,237 @@
+import {
+	AgreementState, EMPTY_AGREEMENT, applyPatch, checkAgreement, type Agreement, type Change, type Patch,
+} from '@apricotwood/agreement';
+import type {Clock} from '@apricotwood/clock';
+import {
+	type ObjectStore, type Row, type RowWrite, type Table,
+} from '@apricotwood/platform';
+import {CONTROL_PREFIX} from './feed.js';
+
+const HEAD_KEY = `${CONTROL_PREFIX}agreement/head`;
+/** Prefix of the rows that hold accepted versions. */
+export const VERSION_PREFIX = `${CONTROL_PREFIX}agreement/version/`;
+const PATCH_PREFIX = 'agreement-patch/';
+const SNAPSHOT_KEY = 'agreement-snapshot';
+/** A snapshot is written each time this many versions have passed. */
+const SNAPSHOT_EVERY = 100;
+
+/** One accepted version, as its row holds it. */
+export type VersionRecord = {
+	readonly version: number;
+	readonly patchId: string;
+	readonly operator: string;
+	/** Unix ms. */
+	readonly acceptedAtMs: number;
+	readonly changes: readonly Change[];
+};
+
+type HeadRow = {readonly version: number};
+type PatchRow = {readonly version: number};
+type SnapshotRow = {readonly object: string; readonly tableVersion: number};
+type Snapshot = {readonly version: number; readonly agreement: Agreement};
+
+/** How a patch ended. */
+export enum CommitOutcome {
+	/** In force as the version given; also for a patch that was accepted before. */
+	Accepted = 'accepted',
+	/** Made against an older version; nothing changed. */
+	Stale = 'stale',
+}
+
+export type Commit
+	= | {readonly outcome: CommitOutcome.Accepted; readonly record: VersionRecord; readonly isRepeat: boolean}
+		| {readonly outcome: CommitOutcome.Stale; readonly current: number; readonly since: readonly VersionRecord[]};
+
+export type BookOptions = {
+	readonly table: Table;
+	readonly objects: ObjectStore;
+	readonly clock: Clock;
+	/** Brings the followed rows up to date; throws when the platform gives no answer. */
+	readonly refresh: () => Promise<void>;
+	/** Called for each version that comes into force on this host. */
+	readonly onVersion: (state: AgreementState, record: VersionRecord) => void;
+};
+
+/**
+ * The agreement on this host: follows accepted versions in order and commits
+ * patches. The version in force only rises; records may come from the table or
+ * from peers, in any order and more than once.
+ */
+export class AgreementBook {
+	#state = new AgreementState(0, EMPTY_AGREEMENT);
+	readonly #records = new Map<number, VersionRecord>();
+
+	constructor(private readonly options: BookOptions) {}
+
+	get state(): AgreementState {
+		return this.#state;
+	}
+
+	/** Accepted versions after `version` that this host still remembers, oldest first. */
+	recordsSince(version: number): VersionRecord[] {
+		const records: VersionRecord[] = [];
+		for (let next = version + 1; next <= this.#state.version; next++) {
+			const record = this.#records.get(next);
+			if (record) {
+				records.push(record);
+			}
+		}
+
+		return records;
+	}
+
+	/**
+	 * Reads the newest snapshot, if there is one.
+	 * @returns the table's version to follow on from.
+	 * @throws when the platform gives no answer.
+	 */
+	async loadSnapshot(): Promise<number> {
+		const row = await this.options.table.read(SNAPSHOT_KEY);
+		if (!row) {
+			return 0;
+		}
+
+		const {object, tableVersion} = row.value as SnapshotRow;
+		const body = await this.options.objects.get(object);
+		if (body === undefined) {
+			return 0;
+		}
+
+		const {version, agreement} = JSON.parse(body) as Snapshot;
+		if (version > this.#state.version) {
+			this.#state = new AgreementState(version, checkAgreement(agreement));
+		}
+
+		return tableVersion;
+	}
+
+	/** Takes rows of the table; those that hold no accepted version are passed over. */
+	applyRows(rows: readonly Row[]): void {
+		for (const row of rows) {
+			if (row.key.startsWith(VERSION_PREFIX) && row.value !== undefined) {
+				this.offer(row.value as VersionRecord);
+			}
+		}
+	}
+
+	/** Takes one accepted version from anywhere and puts in force what now follows without a gap. */
+	offer(record: VersionRecord): void {
+		if (record.version <= this.#state.version || this.#records.has(record.version)) {
+			return;
+		}
+
+		this.#records.set(record.version, record);
+		for (let next = this.#records.get(this.#state.version + 1); next; next = this.#records.get(this.#state.version + 1)) {
+			const agreement = applyPatch(this.#state.agreement, {id: next.patchId, against: next.version - 1, changes: [...next.changes]});
+			this.#state = new AgreementState(next.version, agreement);
+			this.options.onVersion(this.#state, next);
+		}
+	}
+
+	/**
+	 * Commits a patch as the next version, in one transaction. A lost reply is
+	 * settled by reading the patch id back.
+	 * @throws {FindingsError} when the patch or its outcome does not hold.
+	 * @throws {PlatformError} when the platform gives no answer; the patch may be accepted later and can be sent again.
+	 */
+	async commit(patch: Patch, operator: string): Promise<Commit> {
+		await this.options.refresh();
+		const known = await this.#findAccepted(patch.id);
+		if (known) {
+			return known;
+		}
+
+		const {version, agreement} = this.#state;
+		if (patch.against !== version) {
+			return this.#refuseStale(patch.against);
+		}
+
+		applyPatch(agreement, patch);
+		const record: VersionRecord = {
+			version: version + 1, patchId: patch.id, operator, acceptedAtMs: this.options.clock.now(), changes: patch.changes,
+		};
+		return this.#write(record, patch);
+	}
+
+	/** Writes a snapshot when enough versions have passed; a failure only makes a later start read more. */
+	async snapshotIfDue(tableVersion: number): Promise<boolean> {
+		const {version, agreement} = this.#state;
+		if (version === 0 || version % SNAPSHOT_EVERY !== 0) {
+			return false;
+		}
+
+		const object = `agreement/${version}`;
+		const snapshot: Snapshot = {version, agreement};
+		await this.options.objects.put(object, JSON.stringify(snapshot));
+		const row: SnapshotRow = {object, tableVersion};
+		await this.options.table.commit([{key: SNAPSHOT_KEY, value: row, expected: undefined}]);
+		return true;
+	}
+
+	async #write(record: VersionRecord, patch: Patch): Promise<Commit> {
+		const head = await this.options.table.read(HEAD_KEY);
+		const headRow: HeadRow = {version: record.version};
+		const patchRow: PatchRow = {version: record.version};
+		const writes: RowWrite[] = [
+			{key: HEAD_KEY, value: headRow, expected: head?.version ?? 0},
+			{key: versionKey(record.version), value: record, expected: 0},
+			{key: PATCH_PREFIX + patch.id, value: patchRow, expected: 0},
+		];
+		try {
+			const result = await this.options.table.commit(writes);
+			if (result.ok) {
+				this.offer(record);
+				return {outcome: CommitOutcome.Accepted, record, isRepeat: false};
+			}
+		} catch (error) {
+			const settled = await this.#settle(patch.id, error as Error);
+			return settled;
+		}
+
+		await this.options.refresh();
+		return await this.#findAccepted(patch.id) ?? this.#refuseStale(patch.against);
+	}
+
+	/** Decides a commit without a reply: the patch id's row tells whether it took effect. */
+	async #settle(patchId: string, error: Error): Promise<Commit> {
+		try {
+			const known = await this.#findAccepted(patchId);
+			if (known?.outcome === CommitOutcome.Accepted) {
+				await this.options.refresh();
+				return {...known, isRepeat: false};
+			}
+		} catch {}
+
+		throw error;
+	}
+
+	async #findAccepted(patchId: string): Promise<Commit | undefined> {
+		const row = await this.options.table.read(PATCH_PREFIX + patchId);
+		if (!row) {
+			return undefined;
+		}
+
+		const {version} = row.value as PatchRow;
+		const record = this.#records.get(version) ?? await this.#readRecord(version);
+		return {outcome: CommitOutcome.Accepted, record, isRepeat: true};
+	}
+
+	async #readRecord(version: number): Promise<VersionRecord> {
+		const row = await this.options.table.read(versionKey(version));
+		if (!row) {
+			throw new Error(`version ${version} of the agreement is missing from the table`);
+		}
+
+		this.offer(row.value as VersionRecord);
+		return row.value as VersionRecord;
+	}
+
+	#refuseStale(against: number): Commit {
+		return {outcome: CommitOutcome.Stale, current: this.#state.version, since: this.recordsSince(against)};
+	}
+}
+
+/** Keeps version rows in order of their number. */
+function versionKey(version: number): string {
+	return VERSION_PREFIX + String(version).padStart(12, '0');
+}
--- /dev/null
+++ b/packages/daemon/src/control/membership.ts
@@ -0,0 +1,234 @@
+import type {Clock} from '@apricotwood/clock';
+import {ListedAs, isGone, type HolderFacts} from '@apricotwood/ledger';
+import {
+	ListedState, type ListedHost, type Row, type Table,
+} from '@apricotwood/platform';
+import {hashText} from '@apricotwood/routing';
+import {holderOf, type Identity} from '../host/identity.js';
+import {HostPhase} from '../host/phase.js';
+import {SuspicionLevel} from './detector.js';
+import {type HostDigest} from './digest.js';
+import {CONTROL_PREFIX} from './feed.js';
+
+/** Prefix of the rows that hold hosts' leases. */
+export const HOST_PREFIX = `${CONTROL_PREFIX}host/`;
+
+/** A host's lease row. */
+export type LeaseRow = Identity & {
+	/** Unix ms. */
+	readonly renewedAtMs: number;
+	readonly phase: HostPhase;
+	/** Units wanted at one time, by resource group: `service/NAME` or `member/NAME/SERVICE`. */
+	readonly demand: Readonly<Record<string, number>>;
+};
+
+/** What is known of a host, from its lease and from peers. */
+export type HostView = {
+	readonly lease: LeaseRow;
+	readonly digest: HostDigest | undefined;
+	/** Monotonic ms at which the digest came in. */
+	readonly digestAtMs: number;
+	readonly hash: number;
+};
+
+type Entry = {
+	lease: LeaseRow;
+	digest: HostDigest | undefined;
+	digestAtMs: number;
+	suspicion: SuspicionLevel;
+	hash: number;
+};
+
+export type MembershipOptions = {
+	readonly clock: Clock;
+	readonly self: Identity;
+	readonly leaseIntervalMs: number;
+	readonly gossipIntervalMs: number;
+	readonly fenceMs: number;
+};
+
+/** A peer above this suspicion is not sent to. */
+const SUSPECT_PHI = 8;
+/** A lease this many intervals old no longer counts as held. */
+const LEASE_INTERVALS = 3;
+
+/** Every host that is known, and how sure we are that it is there. */
+export class Membership {
+	readonly #entries = new Map<string, Entry>();
+	readonly #incarnations = new Map<string, LeaseRow>();
+	readonly #everListed = new Set<string>();
+	#listed = new Map<string, ListedState>();
+	#listedAtMs: number | undefined;
+	#lastPeerMs: number;
+
+	constructor(private readonly options: MembershipOptions) {
+		this.#lastPeerMs = options.clock.monotonic();
+	}
+
+	/** Monotonic ms of the last message from any peer. */
+	get lastPeerMs(): number {
+		return this.#lastPeerMs;
+	}
+
+	/** Hosts that hold a lease, this one included. */
+	get hosts(): HostView[] {
+		return [...this.#entries.values()].filter(entry => entry.lease.phase !== HostPhase.Stopped);
+	}
+
+	/** Hosts other than this one that hold a lease. */
+	get peers(): HostView[] {
+		return this.hosts.filter(({lease}) => lease.id !== this.options.self.id);
+	}
+
+	get(id: string): HostView | undefined {
+		return this.#entries.get(id);
+	}
+
+	/** Takes lease rows. A newer incarnation at the same id replaces the old one. */
+	applyRows(rows: readonly Row[]): void {
+		for (const row of rows) {
+			if (row.value !== undefined) {
+				this.#applyLease(row.value as LeaseRow);
+			}
+		}
+	}
+
+	/** Takes the platform's list of hosts. */
+	applyList(listed: readonly ListedHost[]): void {
+		this.#listed = new Map(listed.map(({address, state}) => [address, state]));
+		this.#listedAtMs = this.options.clock.monotonic();
+		for (const {address} of listed) {
+			this.#everListed.add(address);
+		}
+	}
+
+	/** What the platform's list says of an address; `undefined` when it has never been read. */
+	listedAs(address: string): ListedAs | undefined {
+		if (this.#listedAtMs === undefined) {
+			return undefined;
+		}
+
+		const state = this.#listed.get(address);
+		if (state === undefined) {
+			return ListedAs.Absent;
+		}
+
+		return state === ListedState.Leaving ? ListedAs.Leaving : ListedAs.Live;
+	}
+
+	/** Takes a peer's digest, from itself or passed on; an older one changes nothing. */
+	applyDigest(digest: HostDigest): void {
+		const entry = this.#entries.get(digest.id);
+		const isNews = entry?.lease.incarnation === digest.incarnation && digest.seq > (entry.digest?.seq ?? -1);
+		if (!entry || !isNews) {
+			return;
+		}
+
+		const nowMs = this.options.clock.monotonic();
+		entry.digest = digest;
+		entry.digestAtMs = nowMs;
+		entry.suspicion.recordHeard(nowMs);
+	}
+
+	/** Notes a message from a peer itself. */
+	recordPeerHeard(): void {
+		this.#lastPeerMs = this.options.clock.monotonic();
+	}
+
+	/** Whether a host may be sent callers and requests. */
+	isUsable(view: HostView): boolean {
+		if (view.lease.id === this.options.self.id) {
+			return true;
+		}
+
+		const {lease, digest} = view;
+		const phase = digest?.phase ?? lease.phase;
+		if (phase !== HostPhase.Ready || this.listedAs(`${lease.address}:${lease.port}`) === ListedAs.Leaving) {
+			return false;
+		}
+
+		const suspicion = this.#entries.get(lease.id)?.suspicion;
+		return this.#isLeaseHeld(lease) && suspicion !== undefined && suspicion.phi(this.options.clock.monotonic()) < SUSPECT_PHI;
+	}
+
+	/** Whether an incarnation is known to be gone, so that its units may be used by others. */
+	isHolderGone(holder: string): boolean {
+		const lease = this.#incarnations.get(holder);
+		if (!lease) {
+			return false;
+		}
+
+		const nowMs = this.options.clock.now();
+		return isGone(this.#factsOf(lease), nowMs, this.options.fenceMs);
+	}
+
+	/**
+	 * Writes this host's lease.
+	 * @throws when the platform gives no answer.
+	 */
+	async renew(table: Table, phase: HostPhase, demand: LeaseRow['demand']): Promise<boolean> {
+		const lease: LeaseRow = {
+			...this.options.self, renewedAtMs: this.options.clock.now(), phase, demand,
+		};
+		const result = await table.commit([{key: HOST_PREFIX + lease.id, value: lease, expected: undefined}]);
+		if (result.ok) {
+			this.#applyLease(lease);
+		}
+
+		return result.ok;
+	}
+
+	#applyLease(lease: LeaseRow): void {
+		const holder = holderOf(lease);
+		this.#incarnations.set(holder, lease);
+		const known = this.#entries.get(lease.id);
+		if (known?.lease.incarnation === lease.incarnation) {
+			known.lease = lease;
+			return;
+		}
+
+		const nowMs = this.options.clock.monotonic();
+		this.#entries.set(lease.id, {
+			lease,
+			digest: undefined,
+			digestAtMs: nowMs,
+			suspicion: new SuspicionLevel(nowMs, this.options.gossipIntervalMs),
+			hash: hashText(lease.id),
+		});
+	}
+
+	#isLeaseHeld(lease: LeaseRow): boolean {
+		return this.options.clock.now() - lease.renewedAtMs < LEASE_INTERVALS * this.options.leaseIntervalMs
+			|| this.#wasHeardLately(lease.id);
+	}
+
+	/** While the store is down leases cannot be renewed; a peer that speaks is there all the same. */
+	#wasHeardLately(id: string): boolean {
+		const entry = this.#entries.get(id);
+		return entry?.digest !== undefined
+			&& this.options.clock.monotonic() - entry.digestAtMs < LEASE_INTERVALS * this.options.leaseIntervalMs;
+	}
+
+	#factsOf(lease: LeaseRow): HolderFacts {
+		const address = `${lease.address}:${lease.port}`;
+		return {
+			renewedAtMs: lease.renewedAtMs,
+			stopped: lease.phase === HostPhase.Stopped,
+			superseded: this.#isSuperseded(lease),
+			listed: this.listedAs(address) ?? ListedAs.Live,
+			wasListed: this.#everListed.has(address),
+		};
+	}
+
+	/** Two processes cannot listen at one address, so a newer incarnation there proves that the older one ended. */
+	#isSuperseded(lease: LeaseRow): boolean {
+		for (const {lease: other} of this.#entries.values()) {
+			const isSameAddress = other.address === lease.address && other.port === lease.port;
+			if (isSameAddress && other.incarnation !== lease.incarnation && other.renewedAtMs > lease.renewedAtMs) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/host/claims.ts
@@ -0,0 +1,27 @@
+import type {ClaimRow, ClaimStore} from '@apricotwood/once';
+import type {Table} from '@apricotwood/platform';
+
+/** Claims kept in the platform's table. */
+export type TableClaims = ClaimStore & {
+	/** Takes a claim back; only for a request that is known not to have run. */
+	drop(key: string): Promise<void>;
+};
+
+/** Keeps claims in the platform's table, one row each. */
+export function createClaimStore(table: Table): TableClaims {
+	const read = async (key: string): Promise<ClaimRow | undefined> => {
+		const row = await table.read(key);
+		return row?.value as ClaimRow | undefined;
+	};
+
+	return {
+		read,
+		async insertIfAbsent(key, value) {
+			const result = await table.commit([{key, value, expected: 0}]);
+			return result.ok ? value : await read(key) ?? value;
+		},
+		async drop(key) {
+			await table.commit([{key, value: undefined, expected: undefined}]);
+		},
+	};
+}
--- /dev/null
+++ b/packages/daemon/src/lookup/directory.ts
@@ -0,0 +1,166 @@
+import {
+	DrainKind, ResourceKind, type AgreementState, type Cap,
+} from '@apricotwood/agreement';
+import type {Clock} from '@apricotwood/clock';
+import {
+	blendByAge, stepWeight, type EntryHost, type Figure,
+} from '@apricotwood/routing';
+import type {LedgerAgent} from '../control/ledger.js';
+import type {HostView, Membership} from '../control/membership.js';
+import {holderOf, type Identity} from '../host/identity.js';
+import type {PeerAddress} from '../peer/forward.js';
+import type {Alternative} from '../request/answer.js';
+import type {PeerChoice} from '../request/dispatcher.js';
+
+/** Peers' figures past this age count as absent, ms. */
+const MAX_FIGURE_AGE_MS = 10_000;
+/** Without a fresh figure a host's units count as half free. */
+const ASSUMED_FREE_PART = 0.5;
+const MAX_ALTERNATIVES = 3;
+
+export type DirectoryOptions = {
+	readonly clock: Clock;
+	readonly self: Identity;
+	readonly membership: Membership;
+	readonly ledger: LedgerAgent;
+	readonly state: () => AgreementState;
+	/** Free worker units of a service on this host. */
+	readonly ownFree: (service: string) => number;
+	/** Whether this host takes callers from look-ups. */
+	readonly isOpen: () => boolean;
+};
+
+/** Which entry hosts can serve what, by shares and by what peers report; rebuilt at each refresh. */
+export class Directory implements PeerChoice {
+	readonly #hosts = new Map<string, readonly EntryHost[]>();
+	readonly #weights = new Map<string, number>();
+	readonly #memberHosts = new Map<string, readonly EntryHost[]>();
+
+	constructor(private readonly options: DirectoryOptions) {}
+
+	/** Recomputes all lists; weights move by bounded steps. */
+	refresh(): void {
+		const {state, membership} = this.options;
+		const current = state();
+		this.#hosts.clear();
+		this.#memberHosts.clear();
+		const usable = membership.hosts.filter(view => this.#isOpen(view, current));
+		for (const service of current.services.keys()) {
+			for (const region of current.regions.keys()) {
+				this.#hosts.set(`${region}/${service}`, this.#rank(usable, region, service, current));
+			}
+		}
+	}
+
+	/** Entry hosts of a region that hold units of a service. */
+	of(region: string, service: string): readonly EntryHost[] {
+		return this.#hosts.get(`${region}/${service}`) ?? [];
+	}
+
+	/** The same, only those that hold units of the member's caps; a small cap is held by few hosts. */
+	ofMember(region: string, service: string, member: string, caps: readonly Cap[]): readonly EntryHost[] {
+		const key = `${region}/${service}/${member}`;
+		let hosts = this.#memberHosts.get(key);
+		if (!hosts) {
+			const all = this.of(region, service);
+			const holding = all.filter(host => caps.every(cap => this.#holdsMember(host.id, member, cap)));
+			hosts = holding.length > 0 ? holding : all;
+			this.#memberHosts.set(key, hosts);
+		}
+
+		return hosts;
+	}
+
+	find(host: string, incarnation: string): PeerAddress | undefined {
+		const view = this.options.membership.get(host);
+		return view?.lease.incarnation === incarnation ? view.lease : undefined;
+	}
+
+	withRoom(region: string, service: string, caps: readonly Cap[], member: string): PeerAddress | undefined {
+		let best: EntryHost | undefined;
+		let bestFree = 0;
+		for (const host of this.of(region, service)) {
+			if (host.id === this.options.self.id || !caps.every(cap => this.#holdsMember(host.id, member, cap))) {
+				continue;
+			}
+
+			const view = this.options.membership.get(host.id);
+			const free = view?.digest?.free[service] ?? 0;
+			const isFresh = view !== undefined && this.options.clock.monotonic() - view.digestAtMs < MAX_FIGURE_AGE_MS;
+			if (isFresh && free > bestFree) {
+				best = host;
+				bestFree = free;
+			}
+		}
+
+		return best;
+	}
+
+	alternatives(service: string): readonly Alternative[] {
+		const hosts = this.of(this.options.self.region, service).filter(host => host.id !== this.options.self.id);
+		return hosts.slice(0, MAX_ALTERNATIVES).map(({address, port}) => ({address, port}));
+	}
+
+	#isOpen(view: HostView, state: AgreementState): boolean {
+		const {lease} = view;
+		const isSelf = lease.id === this.options.self.id;
+		if (state.isDrained(DrainKind.Host, lease.id) || state.isPlaceDrained(lease.zone)) {
+			return false;
+		}
+
+		return isSelf ? this.options.isOpen() : this.options.membership.isUsable(view);
+	}
+
+	#rank(views: readonly HostView[], region: string, service: string, state: AgreementState): EntryHost[] {
+		const workers = state.workersIn(region, service).filter(worker => !state.isWorkerDrained(worker));
+		let total = 0;
+		for (const worker of workers) {
+			total += worker.slots;
+		}
+
+		const hosts: EntryHost[] = [];
+		for (const {lease, hash, digest, digestAtMs} of views) {
+			if (lease.region !== region || total === 0) {
+				continue;
+			}
+
+			const holder = holderOf(lease);
+			let held = 0;
+			for (const worker of workers) {
+				held += this.options.ledger.heldBy(`${ResourceKind.Worker}/${worker.name}`, holder);
+			}
+
+			if (held > 0) {
+				const free = this.#freeOf(lease.id, service, held, digest?.free[service], digestAtMs);
+				const weight = this.#stepped(`${lease.id}/${service}`, free / total);
+				const {id, address, port, zone} = lease;
+				hosts.push({
+					id, address, port, zone, region, hash, weight,
+				});
+			}
+		}
+
+		return hosts;
+	}
+
+	/** Free units of a host, by its last report; an old report fades into an assumption. */
+	#freeOf(id: string, service: string, held: number, reported: number | undefined, atMs: number): number {
+		if (id === this.options.self.id) {
+			return this.options.ownFree(service);
+		}
+
+		const figure: Figure | undefined = reported === undefined ? undefined : {value: reported, atMs};
+		return blendByAge(figure, held * ASSUMED_FREE_PART, this.options.clock.monotonic(), MAX_FIGURE_AGE_MS);
+	}
+
+	#stepped(key: string, goal: number): number {
+		const weight = stepWeight(this.#weights.get(key) ?? 0, goal);
+		this.#weights.set(key, weight);
+		return weight;
+	}
+
+	#holdsMember(host: string, member: string, cap: Cap): boolean {
+		const view = this.options.membership.get(host);
+		return view !== undefined && this.options.ledger.heldBy(`${ResourceKind.Member}/${member}/${cap.service}`, holderOf(view.lease)) > 0;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/peer/forward.ts
@@ -0,0 +1,186 @@
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import {Pool} from 'undici';
+import type {Clock, Timer} from '@apricotwood/clock';
+import {
+	Attempt, type AnswerHead, type AttemptFailure, type AttemptListener,
+} from '../upstream/attempt.js';
+import {
+	Code, doubt, refuse, type Refusal,
+} from '../request/codes.js';
+import type {RequestContext} from '../request/context.js';
+import {HeaderName, copyRequestHeaders} from '../request/headers.js';
+import type {PeerAuth} from './auth.js';
+
+const CONNECTIONS_PER_PEER = 64;
+const CONNECT_TIMEOUT_MS = 500;
+
+/** What a host says of a request that it passes on. */
+export type ForwardNote = {
+	/** Host that passes the request on. */
+	readonly from: string;
+	/** The caller's address, as the first host saw it. */
+	readonly caller: string;
+};
+
+/** How passing a request on ended. */
+export type ForwardResult = {
+	/** Whether anything may have reached the peer; if not, another peer may be tried. */
+	readonly reachedPeer: boolean;
+	/** What to tell the caller where the peer's answer was not passed on. */
+	readonly refusal: Refusal | undefined;
+};
+
+/** Where a peer listens. */
+export type PeerAddress = {
+	readonly id: string;
+	readonly address: string;
+	readonly port: number;
+};
+
+export type ForwarderOptions = {
+	readonly clock: Clock;
+	readonly auth: PeerAuth;
+	readonly hostId: string;
+	readonly stallMs: number;
+};
+
+/** Passes requests on to other hosts, one hop. */
+export class Forwarder {
+	readonly #pools = new Map<string, Pool>();
+
+	constructor(private readonly options: ForwarderOptions) {}
+
+	/** Passes a request on and its answer back; tells `onLeave` how to cancel it. */
+	async forward(ctx: RequestContext, peer: PeerAddress, body: Buffer | IncomingMessage | undefined, onLeave: (cancel: () => void) => void): Promise<ForwardResult> {
+		const hop = new Hop(ctx, this.options);
+		onLeave(() => {
+			hop.cancel();
+		});
+		return hop.run(this.#poolOf(peer), peer.id, body);
+	}
+
+	/** Drops the connections to peers that are not among those given. */
+	retain(peers: readonly PeerAddress[]): void {
+		const origins = new Set(peers.map(peer => originOf(peer)));
+		for (const [origin, pool] of this.#pools) {
+			if (!origins.has(origin)) {
+				this.#pools.delete(origin);
+				void pool.close();
+			}
+		}
+	}
+
+	async close(): Promise<void> {
+		await Promise.all(Array.from(this.#pools.values(), async pool => pool.close()));
+	}
+
+	#poolOf(peer: PeerAddress): Pool {
+		const origin = originOf(peer);
+		let pool = this.#pools.get(origin);
+		if (!pool) {
+			pool = new Pool(origin, {
+				connections: CONNECTIONS_PER_PEER, pipelining: 1, headersTimeout: 0, bodyTimeout: this.options.stallMs, connect: {timeout: CONNECT_TIMEOUT_MS},
+			});
+			this.#pools.set(origin, pool);
+		}
+
+		return pool;
+	}
+}
+
+/** The origin of a host's HTTP interface. */
+export function originOf({address, port}: Omit<PeerAddress, 'id'>): string {
+	return address.includes(':') ? `http://[${address}]:${port}` : `http://${address}:${port}`;
+}
+
+/** One request passed on to one peer. */
+class Hop implements AttemptListener {
+	#attempt: Attempt | undefined;
+	#deadline: Timer | undefined;
+	#resolve: (result: ForwardResult) => void = () => {};
+
+	constructor(private readonly ctx: RequestContext, private readonly options: ForwarderOptions) {}
+
+	async run(pool: Pool, target: string, body: Buffer | IncomingMessage | undefined): Promise<ForwardResult> {
+		const {ctx} = this;
+		const leftMs = Math.max(1, ctx.deadlineAtMs - this.options.clock.monotonic());
+		const attempt = new Attempt(target, {
+			method: ctx.req.method ?? 'GET',
+			path: `/s/${ctx.service.name}${ctx.path}`,
+			headers: this.#headers(leftMs, body),
+			body,
+			attemptId: '',
+			isPeer: true,
+		}, this);
+		this.#attempt = attempt;
+		return new Promise(resolve => {
+			this.#resolve = resolve;
+			this.#deadline = this.options.clock.after(leftMs, () => {
+				attempt.abort(Code.UpstreamLate);
+			});
+			attempt.start(pool);
+		});
+	}
+
+	cancel(): void {
+		this.#attempt?.abort(Code.CallerLeft);
+	}
+
+	onHead(_attempt: Attempt, head: AnswerHead): void {
+		if (!this.ctx.res.destroyed) {
+			this.ctx.res.writeHead(head.status, head.headers);
+		}
+	}
+
+	onData(attempt: Attempt, chunk: Buffer): boolean {
+		const {res} = this.ctx;
+		if (res.destroyed || res.write(chunk)) {
+			return true;
+		}
+
+		res.once('drain', () => {
+			attempt.resume();
+		});
+		return false;
+	}
+
+	onEnd(): void {
+		this.ctx.res.end();
+		this.#finish({reachedPeer: true, refusal: undefined});
+	}
+
+	onFail(attempt: Attempt, {code, message, hadAnswer}: AttemptFailure): void {
+		if (hadAnswer) {
+			this.ctx.res.destroy();
+		}
+
+		const refusal = attempt.wasSent ? doubt(code, code === Code.UpstreamLate ? 504 : 502, message) : refuse(code, 503, message, 100);
+		this.#finish({reachedPeer: attempt.wasSent, refusal});
+	}
+
+	#headers(leftMs: number, body: Buffer | IncomingMessage | undefined): string[] {
+		const {ctx, options} = this;
+		const note: ForwardNote = {from: options.hostId, caller: ctx.callerAddress};
+		const headers = copyRequestHeaders(ctx.req);
+		headers.push(HeaderName.Member, ctx.member.name, HeaderName.DeadlineMs, String(Math.round(leftMs)), HeaderName.Forward, options.auth.sign(note));
+		const {key, requestId, ticket} = ctx.headers;
+		for (const [name, value] of [[HeaderName.Key, key], [HeaderName.RequestId, requestId], [HeaderName.Ticket, ticket]] as const) {
+			if (value !== undefined) {
+				headers.push(name, value);
+			}
+		}
+
+		const length = ctx.req.headers['content-length'];
+		if (body !== undefined && !Buffer.isBuffer(body) && length !== undefined) {
+			headers.push('content-length', length);
+		}
+
+		return headers;
+	}
+
+	#finish(result: ForwardResult): void {
+		this.#deadline?.cancel();
+		this.#resolve(result);
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/request/answer.ts
@@ -0,0 +1,59 @@
+import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+import {Outcome, type StoredAnswer} from '@apricotwood/once';
+import {HeaderName} from './headers.js';
+import type {Refusal} from './codes.js';
+
+const OUTCOME_HEADER = titleOf(HeaderName.Outcome);
+const WORKER_HEADER = titleOf(HeaderName.Worker);
+const HOST_HEADER = titleOf(HeaderName.Host);
+
+/** Another entry host that a refused caller may try. */
+export type Alternative = {
+	readonly address: string;
+	readonly port: number;
+};
+
+/** Writes an answer of apricotwood's own; does nothing when an answer has begun. */
+export function sendRefusal(res: ServerResponse, refusal: Refusal, hosts: readonly Alternative[]): void {
+	if (res.headersSent || res.destroyed) {
+		return;
+	}
+
+	const {code, message, retryAfterMs, outcome, status} = refusal;
+	const body = Buffer.from(JSON.stringify({
+		code, message, retryAfterMs, hosts,
+	}));
+	const headers = ['Content-Type', 'application/json', 'Content-Length', String(body.length), OUTCOME_HEADER, outcome];
+	if (retryAfterMs > 0) {
+		headers.push('Retry-After', String(Math.max(1, Math.ceil(retryAfterMs / 1000))));
+	}
+
+	if (!res.req.complete) {
+		// The rest of the caller's body is not read; the connection cannot be used again.
+		headers.push('Connection', 'close');
+	}
+
+	res.writeHead(status, headers);
+	res.end(body);
+}
+
+/** Writes an answer that was kept for a repeat. */
+export function sendStored(res: ServerResponse, answer: StoredAnswer): void {
+	if (res.headersSent || res.destroyed) {
+		return;
+	}
+
+	res.writeHead(answer.status, [...answer.headers]);
+	res.end(answer.body);
+}
+
+/** The headers of an answer that comes from a worker. */
+export function answerHeaders(headers: readonly string[], worker: string, host: string): string[] {
+	return [...headers, OUTCOME_HEADER, Outcome.Answered, WORKER_HEADER, worker, HOST_HEADER, host];
+}
+
+/** Spells a header name with capitals, as `Apricotwood-Outcome`. */
+function titleOf(name: HeaderName): string {
+	return name.replaceAll(/(^|-)([a-z])/g, (_match, dash: string, letter: string) => dash + letter.toUpperCase());
+}
--- /dev/null
+++ b/packages/daemon/src/request/headers.ts
@@ -0,0 +1,146 @@
+import type {IncomingMessage} from 'node:http';
+import type {Finding} from '@apricotwood/findings';
+
+/** Names of apricotwood's own headers, in lower case. */
+export enum HeaderName {
+	Member = 'apricotwood-member',
+	Key = 'apricotwood-key',
+	RequestId = 'apricotwood-request-id',
+	Ticket = 'apricotwood-ticket',
+	DeadlineMs = 'apricotwood-deadline-ms',
+	Outcome = 'apricotwood-outcome',
+	Worker = 'apricotwood-worker',
+	Host = 'apricotwood-host',
+	/** Names one attempt towards a worker, which may echo it. */
+	Attempt = 'apricotwood-attempt',
+	/** A worker's load, 0 to 1, and the instant it was true at: `0.4;1700000000000`. */
+	Load = 'apricotwood-load',
+	/** `1` in an answer of a worker that leaves. */
+	Draining = 'apricotwood-draining',
+	/** What one host tells another of a request that it passes on. */
+	Forward = 'apricotwood-forward',
+}
+
+/** What a caller says of its request in headers. */
+export type CallerHeaders = {
+	readonly member: string;
+	readonly key: string | undefined;
+	readonly requestId: string | undefined;
+	readonly ticket: string | undefined;
+	/** Milliseconds left; `undefined` when the caller sets no deadline. */
+	readonly deadlineMs: number | undefined;
+	readonly forward: string | undefined;
+};
+
+const SINGLE_HEADERS: ReadonlySet<string> = new Set<HeaderName>([
+	HeaderName.Member, HeaderName.Key, HeaderName.RequestId, HeaderName.Ticket, HeaderName.DeadlineMs, HeaderName.Forward,
+]);
+const REQUEST_ID = /^[\w.:~-]{1,128}$/;
+const MAX_DEADLINE_MS = 86_400_000;
+
+export type HeadersResult = {readonly ok: true; readonly headers: CallerHeaders} | {readonly ok: false; readonly findings: readonly Finding[]};
+
+/** Reads a request's own headers; all findings are reported together. */
+export function readCallerHeaders(req: IncomingMessage): HeadersResult {
+	const findings: Finding[] = [];
+	collectDuplicates(req, findings);
+	const text = (name: HeaderName) => req.headers[name] as string | undefined;
+	const member = text(HeaderName.Member);
+	if (member === undefined || member === '') {
+		findings.push({place: HeaderName.Member, message: 'is missing; name the member that the request counts for'});
+	}
+
+	const requestId = text(HeaderName.RequestId);
+	if (requestId !== undefined && !REQUEST_ID.test(requestId)) {
+		findings.push({place: HeaderName.RequestId, message: 'must be 1 to 128 letters, digits, "_", ".", ":", "~" or "-"'});
+	}
+
+	const deadlineMs = readDeadline(text(HeaderName.DeadlineMs), findings);
+	if (findings.length > 0) {
+		return {ok: false, findings};
+	}
+
+	return {
+		ok: true,
+		headers: {
+			member: member ?? '',
+			key: text(HeaderName.Key),
+			requestId,
+			ticket: text(HeaderName.Ticket),
+			deadlineMs,
+			forward: text(HeaderName.Forward),
+		},
+	};
+}
+
+/** Node joins repeated headers into one value; a value that was said twice is refused instead. */
+function collectDuplicates(req: IncomingMessage, findings: Finding[]): void {
+	const {rawHeaders} = req;
+	let seen: Set<string> | undefined;
+	for (let index = 0; index < rawHeaders.length; index += 2) {
+		const name = rawHeaders[index] ?? '';
+		if (name.length < 11 || ((name.codePointAt(0) ?? 0) | 32) !== 97) {
+			continue;
+		}
+
+		const lower = name.toLowerCase();
+		if (!SINGLE_HEADERS.has(lower)) {
+			continue;
+		}
+
+		seen ??= new Set();
+		if (seen.has(lower)) {
+			findings.push({place: lower, message: 'stands twice; send it once'});
+		}
+
+		seen.add(lower);
+	}
+}
+
+function readDeadline(text: string | undefined, findings: Finding[]): number | undefined {
+	if (text === undefined) {
+		return undefined;
+	}
+
+	const value = /^-?\d{1,12}$/.test(text) ? Number(text) : Number.NaN;
+	if (Number.isNaN(value) || value > MAX_DEADLINE_MS) {
+		findings.push({place: HeaderName.DeadlineMs, message: `must be a whole number of milliseconds up to ${MAX_DEADLINE_MS}`});
+		return undefined;
+	}
+
+	return value;
+}
+
+const HOP_BY_HOP = new Set([
+	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect',
+]);
+
+/** Whether a header goes from one connection to the next (RFC 9110, 7.6.1). */
+export function isEndToEnd(lowerName: string, connectionOptions: ReadonlySet<string> | undefined): boolean {
+	return !HOP_BY_HOP.has(lowerName) && !(connectionOptions?.has(lowerName));
+}
+
+/** The header names that a `Connection` header keeps to this connection. */
+export function readConnectionOptions(value: string | undefined): ReadonlySet<string> | undefined {
+	if (value === undefined || value === 'keep-alive' || value === 'close') {
+		return undefined;
+	}
+
+	return new Set(value.toLowerCase().split(',').map(option => option.trim()));
+}
+
+/** A request's end-to-end headers without apricotwood's own, as names and values in turn. */
+export function copyRequestHeaders(req: IncomingMessage): string[] {
+	const options = readConnectionOptions(req.headers.connection);
+	const {rawHeaders} = req;
+	const headers: string[] = [];
+	for (let index = 0; index < rawHeaders.length; index += 2) {
+		const name = rawHeaders[index] ?? '';
+		const lower = name.toLowerCase();
+		if (isEndToEnd(lower, options) && lower !== 'host' && lower !== 'content-length' && !lower.startsWith('apricotwood-')) {
+			headers.push(name, rawHeaders[index + 1] ?? '');
+		}
+	}
+
+	return headers;
+}
--- /dev/null
+++ b/packages/daemon/src/server/json.ts
@@ -0,0 +1,13 @@
+import {Buffer} from 'node:buffer';
+import type {ServerResponse} from 'node:http';
+
+/** Writes a JSON answer; a status that was set before stays. */
+export function sendJson(res: ServerResponse, status: number, value: unknown): void {
+	if (res.headersSent || res.destroyed) {
+		return;
+	}
+
+	const body = Buffer.from(JSON.stringify(value));
+	res.writeHead(res.statusCode === 200 ? status : res.statusCode, {'content-type': 'application/json', 'content-length': body.length});
+	res.end(body);
+}
--- /dev/null
+++ b/packages/daemon/src/server/server.ts
@@ -0,0 +1,147 @@
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import polka from 'polka';
+import {nodeHTTPRequestHandler} from '@trpc/server/adapters/node-http';
+import {Outcome} from '@apricotwood/once';
+import {type HostLifecycle, HostPhase} from '../host/phase.js';
+import type {Lookup} from '../lookup/lookup.js';
+import type {PeerAuth} from '../peer/auth.js';
+import {PEER_HEADER, PEER_PATH} from '../peer/client.js';
+import type {PeerRouter} from '../peer/router.js';
+import {sendRefusal} from '../request/answer.js';
+import {Code} from '../request/codes.js';
+import type {Dispatcher} from '../request/dispatcher.js';
+import {sendJson} from './json.js';
+import type {OperatorApi} from './operator.js';
+
+/** Largest head of a request, bytes. */
+const MAX_HEAD_BYTES = 16 * 1024;
+/** A head has to come whole within this span, ms. */
+const HEAD_TIMEOUT_MS = 10_000;
+const KEEP_ALIVE_MS = 65_000;
+const BACKLOG = 1024;
+
+export type ServerDeps = {
+	readonly life: HostLifecycle;
+	readonly lookup: Lookup;
+	readonly dispatcher: Dispatcher;
+	readonly operator: OperatorApi;
+	readonly router: PeerRouter;
+	readonly auth: PeerAuth;
+};
+
+type PolkaRequest = IncomingMessage & {path: string; search: string | null};
+
+/** Creates the HTTP server of a host: look-ups, requests, health, peers and operators. */
+export function createHostServer(deps: ServerDeps): Server {
+	const server = createServer({
+		maxHeaderSize: MAX_HEAD_BYTES, requestTimeout: 0, headersTimeout: HEAD_TIMEOUT_MS, keepAliveTimeout: KEEP_ALIVE_MS,
+	});
+	const app = polka({
+		server,
+		onNoMatch(_req, res) {
+			sendJson(res, 404, {code: 'not-found', message: 'there is nothing here; docs/api.md lists what is'});
+		},
+	});
+	addCallerRoutes(app, deps);
+	addOperatorRoutes(app, deps.operator);
+	addPeerRoutes(app, deps);
+	server.on('request', app.handler as unknown as (req: IncomingMessage, res: ServerResponse) => void);
+	server.on('clientError', refuseUnreadable);
+	return server;
+}
+
+/** Starts listening. @returns the port in use. */
+export async function listen(server: Server, address: string, port: number): Promise<number> {
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen({host: address, port, backlog: BACKLOG}, () => {
+			server.off('error', reject);
+			resolve();
+		});
+	});
+	return (server.address() as AddressInfo).port;
+}
+
+function addCallerRoutes(app: polka.Polka, {life, lookup, dispatcher}: ServerDeps): void {
+	app.get('/v1/lookup', (req, res) => {
+		answerLookup(req as unknown as PolkaRequest, res, lookup);
+	});
+	app.all('/s/*', (req, res) => {
+		void dispatcher.handle(req, res);
+	});
+	app.get('/livez', (_req, res) => {
+		sendJson(res, 200, {phase: life.phase});
+	});
+	app.get('/readyz', (_req, res) => {
+		sendJson(res, life.phase === HostPhase.Ready ? 200 : 503, {phase: life.phase});
+	});
+}
+
+function answerLookup(req: PolkaRequest, res: ServerResponse, lookup: Lookup): void {
+	const query = new URLSearchParams(req.search ?? '');
+	const result = lookup.answer({service: query.get('service') ?? '', member: query.get('member') ?? '', addr: query.get('addr') ?? req.socket.remoteAddress ?? ''});
+	if (!result.ok) {
+		sendRefusal(res, result.refusal, []);
+		return;
+	}
+
+	res.writeHead(200, ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(result.body))]);
+	res.end(result.body);
+}
+
+function addOperatorRoutes(app: polka.Polka, operator: OperatorApi): void {
+	const get = (path: string, call: (query: URLSearchParams) => unknown) => {
+		app.get(path, (req, res) => {
+			const {search} = req as unknown as PolkaRequest;
+			void operator.handle(req, res, () => call(new URLSearchParams(search ?? '')));
+		});
+	};
+
+	get('/v1/agreement', () => operator.agreement());
+	get('/v1/agreement/history', query => operator.history(query.get('after') ?? undefined));
+	get('/v1/agreement/status', () => operator.status());
+	get('/v1/hosts', () => operator.hosts());
+	get('/v1/ledger', () => operator.ledger());
+	get('/v1/explain', query => operator.explain(query));
+	app.post('/v1/agreement/patches', (req, res) => {
+		const [rawReq, rawRes] = [req, res];
+		void operator.handle(rawReq, rawRes, async name => operator.patch(rawReq, rawRes, name));
+	});
+}
+
+function addPeerRoutes(app: polka.Polka, {router, auth}: ServerDeps): void {
+	app.all(`${PEER_PATH}/:call`, (req, res) => {
+		const {call} = req.params as {call: string};
+		void nodeHTTPRequestHandler({
+			router,
+			req: req as never,
+			res: res as never,
+			path: call,
+			createContext: () => ({peer: readPeer(req as unknown as IncomingMessage, auth)}),
+		});
+	});
+}
+
+function readPeer(req: IncomingMessage, auth: PeerAuth): string | undefined {
+	const signed = req.headers[PEER_HEADER];
+	const name = typeof signed === 'string' ? auth.open(signed) : undefined;
+	return typeof name === 'string' ? name : undefined;
+}
+
+/** Answers what cannot be read as HTTP; such a request was never run. */
+function refuseUnreadable(error: NodeJS.ErrnoException, socket: Socket): void {
+	if (error.code === 'ECONNRESET' || !socket.writable) {
+		socket.destroy();
+		return;
+	}
+
+	const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request');
+	const body = JSON.stringify({
+		code: Code.BadRequest, message: `the request cannot be read as HTTP/1.1 (${error.code ?? 'unknown'}); send a well-formed one`, retryAfterMs: 0, hosts: [],
+	});
+	socket.end(`HTTP/1.1 ${status}\r\nContent-Type: application/json\r\nContent-Length: ${Buffer.byteLength(body)}\r\nApricotwood-Outcome: ${Outcome.NotRun}\r\nConnection: close\r\n\r\n${body}`);
+}
--- /dev/null
+++ b/packages/demo/src/main.ts
@@ -0,0 +1,106 @@
+import process from 'node:process';
+import {SystemClock, SystemRandom} from '@apricotwood/clock';
+import {Host, parseSettings} from '@apricotwood/daemon';
+import {createMemoryPlatform} from '@apricotwood/platform';
+import {
+	FRASER_REACH, HOOGHLY_OARS, StandinWorker, createAgreement, createFirstPatch, zonesOf, type Deployment,
+} from '@apricotwood/standin';
+import {
+	BatchSink, LogFormat, LogLevel, Metrics, createLog,
+} from '@apricotwood/telemetry';
+
+/** First port of the demo's entry hosts. */
+const FIRST_PORT = 8401;
+const CLUSTER_KEY = 'demo-key-on-loopback-only';
+const READY_POLL_MS = 50;
+const DEMO_TTL_MS = 2000;
+
+const clock = new SystemClock();
+const random = new SystemRandom();
+
+/** Runs one of the brief's deployments whole: stand-in workers, a platform in memory, an entry host in each region. */
+async function main(deployment: Deployment): Promise<void> {
+	const stop = new AbortController();
+	for (const name of ['SIGTERM', 'SIGINT'] as const) {
+		process.on(name, () => {
+			stop.abort();
+		});
+	}
+
+	const workers = await startWorkers(deployment);
+	const agreement = createAgreement(deployment, name => ({address: '127.0.0.1', port: workers.get(name)?.port ?? 1}));
+	const sink = new BatchSink(process.stdout.fd, clock);
+	const platform = createMemoryPlatform();
+	const hosts = await Promise.all(deployment.regions.map(async (region, index) => Host.start({
+		settings: parseSettings({
+			id: `host-${index + 1}`,
+			region,
+			zone: zonesOf(region)[0],
+			listen: {address: '127.0.0.1', port: FIRST_PORT + index},
+			log: {format: 'json'},
+			lookup: {ttlMs: DEMO_TTL_MS},
+		}),
+		clusterKey: CLUSTER_KEY,
+		platform,
+		clock,
+		random,
+		sink,
+		log: createLog({
+			format: LogFormat.Json, level: LogLevel.Info, sink, clock, fields: {self: `host-${index + 1}`},
+		}),
+		metrics: new Metrics({host: undefined, port: 0, tags: {}}),
+	})));
+	const runs = hosts.map(async host => host.run(stop.signal));
+	const [first] = hosts;
+	await fetch(`http://127.0.0.1:${first?.port}/v1/agreement/patches`, {method: 'POST', body: JSON.stringify(createFirstPatch(agreement))});
+	await waitUntilReady(hosts, stop.signal);
+	if (!stop.signal.aborted) {
+		sink.flush();
+		printHints(deployment, first?.port ?? FIRST_PORT);
+	}
+
+	await Promise.all(runs);
+	await Promise.all(Array.from(workers.values(), async worker => worker.stop()));
+	await sink.drain();
+}
+
+async function startWorkers(deployment: Deployment): Promise<Map<string, StandinWorker>> {
+	const workers = new Map<string, StandinWorker>();
+	for (const {name, workers: count, slots} of deployment.services) {
+		for (let index = 1; index <= count; index++) {
+			const worker = new StandinWorker({name: `${name}-${index}`, clock, slots});
+			workers.set(worker.name, worker);
+		}
+	}
+
+	await Promise.all(Array.from(workers.values(), async worker => worker.start()));
+	return workers;
+}
+
+async function waitUntilReady(hosts: readonly Host[], signal: AbortSignal): Promise<void> {
+	while (!signal.aborted && !hosts.every(host => host.isReady)) {
+		await new Promise<void>(resolve => { // eslint-disable-line no-await-in-loop
+			clock.after(READY_POLL_MS, resolve);
+			setTimeout(resolve, READY_POLL_MS);
+		});
+	}
+}
+
+function printHints({name, services, members}: Deployment, port: number): void {
+	const origin = `http://127.0.0.1:${port}`;
+	const [idempotent, once] = services;
+	const [member] = members;
+	console.error(`
+${name} is up: ${services.length} services, entry hosts on ports ${port} and following. Decisions are logged to standard output.
+
+Look-up:   curl '${origin}/v1/lookup?service=${idempotent?.name}&member=${member}&addr=127.1.0.9'
+Request:   curl -i -H 'Apricotwood-Member: ${member}' '${origin}/s/${idempotent?.name}/items/1'
+Once only: curl -i -H 'Apricotwood-Member: ${member}' -H 'Apricotwood-Request-Id: visit-1' -d seat=4 '${origin}/s/${once?.name}/visits'
+Operator:  curl '${origin}/v1/agreement/status'
+Drain:     npx apricotctl drain worker ${idempotent?.name}-1 --host ${origin}
+
+Ctrl-C stops gracefully.
+`);
+}
+
+await main(process.argv[2] === FRASER_REACH.name ? FRASER_REACH : HOOGHLY_OARS);
--- /dev/null
+++ b/packages/findings/src/index.ts
@@ -0,0 +1,3 @@
+export {
+	FindingsError, collectFindings, formatFindings, formatPlace, parseOrThrow, type Finding,
+} from './finding.js';
--- /dev/null
+++ b/packages/ledger/src/holdings.ts
@@ -0,0 +1,51 @@
+import {ResourceKind, type Resource} from '@apricotwood/agreement';
+import type {Clock} from '@apricotwood/clock';
+import {Holding, RateHolding} from './holding.js';
+
+/** All holdings of this host, by resource key. */
+export class Holdings {
+	readonly #byKey = new Map<string, Holding>();
+
+	constructor(private readonly clock: Clock) {}
+
+	/** The holding of a resource; one without units when it is not known. */
+	get(key: string): Holding {
+		let holding = this.#byKey.get(key);
+		if (!holding) {
+			holding = key.startsWith(`${ResourceKind.Rate}/`) ? new RateHolding(this.clock) : new Holding();
+			this.#byKey.set(key, holding);
+		}
+
+		return holding;
+	}
+
+	/** Whether any unit of any resource is in use, by a running request. */
+	get isBusy(): boolean {
+		for (const [key, holding] of this.#byKey) {
+			if (holding.inUse > 0 && !key.startsWith(`${ResourceKind.Rate}/`)) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	/** Takes the grant of every resource that the agreement no longer names. */
+	retain(resources: readonly Resource[]): void {
+		const known = new Set(resources.map(resource => resource.key));
+		for (const [key, holding] of this.#byKey) {
+			if (known.has(key)) {
+				continue;
+			}
+
+			holding.grant(0);
+			if (holding.inUse === 0) {
+				this.#byKey.delete(key);
+			}
+		}
+	}
+
+	entries(): IterableIterator<[string, Holding]> {
+		return this.#byKey.entries();
+	}
+}
--- /dev/null
+++ b/packages/platform/src/guard/guard.ts
@@ -0,0 +1,130 @@
+import type {Clock, Random} from '@apricotwood/clock';
+import {PlatformError, PlatformFault} from '../error.js';
+import type {
+	CommitResult, HostList, ListedHost, ObjectStore, Platform, Row, RowWrite, ScanResult, Table,
+} from '../table.js';
+import {Breaker, BreakerState} from './breaker.js';
+import {RateBudget} from './rate.js';
+
+/** Bounds on what one host asks of the platform. */
+export type GuardOptions = {
+	readonly clock: Clock;
+	readonly random: Random;
+	/** Time after which a call counts as not answered, ms. @default 1000 */
+	readonly deadlineMs?: number;
+	/** Reads a second, on average. @default 20 */
+	readonly readsPerSecond?: number;
+	/** Writes a second, on average. @default 20 */
+	readonly writesPerSecond?: number;
+};
+
+const DEFAULT_DEADLINE_MS = 1000;
+const DEFAULT_READS_PER_SECOND = 20;
+const DEFAULT_WRITES_PER_SECOND = 20;
+const BURST_SECONDS = 3;
+
+/** Calls made since the start, for metrics. */
+export type CallCounts = {
+	reads: number;
+	writes: number;
+	failures: number;
+};
+
+/** Holds a host's calls to the platform inside a rate budget, a deadline and a circuit breaker. */
+export class PlatformGuard implements Platform {
+	readonly counts: CallCounts = {reads: 0, writes: 0, failures: 0};
+	readonly table: Table;
+	readonly objects: ObjectStore;
+	readonly hosts: HostList;
+	readonly #breaker: Breaker;
+	readonly #reads: RateBudget;
+	readonly #writes: RateBudget;
+	#lastAnswerMs: number;
+
+	constructor(private readonly platform: Platform, private readonly options: GuardOptions) {
+		const {clock, random} = options;
+		const readsPerSecond = options.readsPerSecond ?? DEFAULT_READS_PER_SECOND;
+		const writesPerSecond = options.writesPerSecond ?? DEFAULT_WRITES_PER_SECOND;
+		this.#breaker = new Breaker(clock, random);
+		this.#reads = new RateBudget(clock, readsPerSecond, readsPerSecond * BURST_SECONDS);
+		this.#writes = new RateBudget(clock, writesPerSecond, writesPerSecond * BURST_SECONDS);
+		this.#lastAnswerMs = clock.monotonic();
+		this.table = this.#guardTable();
+		this.objects = this.#guardObjects();
+		this.hosts = {list: async (): Promise<readonly ListedHost[]> => this.#read(async () => platform.hosts.list())};
+	}
+
+	/** Whether the platform answers, as far as is known. */
+	get isUp(): boolean {
+		return this.#breaker.state === BreakerState.Closed;
+	}
+
+	/** Monotonic ms of the platform's last answer. */
+	get lastAnswerMs(): number {
+		return this.#lastAnswerMs;
+	}
+
+	#guardTable(): Table {
+		const {table} = this.platform;
+		return {
+			read: async (key: string): Promise<Row | undefined> => this.#read(async () => table.read(key)),
+			scan: async (prefix: string, afterVersion: number): Promise<ScanResult> => this.#read(async () => table.scan(prefix, afterVersion)),
+			commit: async (writes: readonly RowWrite[]): Promise<CommitResult> => this.#write(async () => table.commit(writes)),
+		};
+	}
+
+	#guardObjects(): ObjectStore {
+		const {objects} = this.platform;
+		return {
+			put: async (name: string, body: string): Promise<void> => this.#write(async () => objects.put(name, body)),
+			get: async (name: string): Promise<string | undefined> => this.#read(async () => objects.get(name)),
+		};
+	}
+
+	async #read<T>(call: () => Promise<T>): Promise<T> {
+		this.#admit(this.#reads, 'read');
+		this.counts.reads++;
+		return this.#run(call);
+	}
+
+	async #write<T>(call: () => Promise<T>): Promise<T> {
+		this.#admit(this.#writes, 'write');
+		this.counts.writes++;
+		return this.#run(call);
+	}
+
+	#admit(budget: RateBudget, kind: string): void {
+		if (!this.#breaker.admit()) {
+			throw new PlatformError(PlatformFault.NotSent, `the platform does not answer; no ${kind} is sent until it may be back`);
+		}
+
+		if (!budget.take()) {
+			throw new PlatformError(PlatformFault.NotSent, `this host's ${kind} budget is spent; try again in a moment`);
+		}
+	}
+
+	async #run<T>(call: () => Promise<T>): Promise<T> {
+		try {
+			const answer = await this.#withDeadline(call());
+			this.#breaker.recordSuccess();
+			this.#lastAnswerMs = this.options.clock.monotonic();
+			return answer;
+		} catch (error) {
+			this.counts.failures++;
+			this.#breaker.recordFailure();
+			throw error;
+		}
+	}
+
+	async #withDeadline<T>(pending: Promise<T>): Promise<T> {
+		const deadlineMs = this.options.deadlineMs ?? DEFAULT_DEADLINE_MS;
+		return new Promise<T>((resolve, reject) => {
+			const timer = this.options.clock.after(deadlineMs, () => {
+				reject(new PlatformError(PlatformFault.NoReply, `the platform gave no reply in ${deadlineMs} ms`));
+			});
+			pending.then(resolve, reject).finally(() => {
+				timer.cancel();
+			});
+		});
+	}
+}
--- /dev/null
+++ b/packages/platform/src/http/client.ts
@@ -0,0 +1,61 @@
+import {Pool} from 'undici';
+import {PlatformError, PlatformFault} from '../error.js';
+import type {
+	CommitResult, ListedHost, Platform, Row, RowWrite, ScanResult,
+} from '../table.js';
+import {PlatformPath} from './protocol.js';
+
+const CONNECTIONS = 4;
+const TIMEOUT_MS = 2000;
+
+/** A platform reached over HTTP. */
+export class HttpPlatform implements Platform {
+	readonly #pool: Pool;
+
+	/** @param origin such as `http://192.0.2.1:7000`. */
+	constructor(origin: string) {
+		this.#pool = new Pool(origin, {
+			connections: CONNECTIONS, headersTimeout: TIMEOUT_MS, bodyTimeout: TIMEOUT_MS, connect: {timeout: TIMEOUT_MS},
+		});
+	}
+
+	readonly table = {
+		read: async (key: string): Promise<Row | undefined> => this.#call<Row | undefined>(PlatformPath.Read, {key}),
+		scan: async (prefix: string, afterVersion: number): Promise<ScanResult> => this.#call<ScanResult>(PlatformPath.Scan, {prefix, afterVersion}),
+		commit: async (writes: readonly RowWrite[]): Promise<CommitResult> => this.#call<CommitResult>(PlatformPath.Commit, {writes}),
+	};
+
+	readonly objects = {
+		put: async (name: string, body: string): Promise<void> => this.#call(PlatformPath.Put, {name, body}),
+		get: async (name: string): Promise<string | undefined> => this.#call<string | undefined>(PlatformPath.Get, {name}),
+	};
+
+	readonly hosts = {
+		list: async (): Promise<readonly ListedHost[]> => this.#call<readonly ListedHost[]>(PlatformPath.Hosts, {}),
+	};
+
+	async close(): Promise<void> {
+		await this.#pool.destroy();
+	}
+
+	/** @throws {PlatformError} when there is no answer, or an answer that is not a success. */
+	async #call<T>(path: PlatformPath, body: unknown): Promise<T> {
+		let status: number;
+		let text: string;
+		try {
+			const res = await this.#pool.request({
+				path, method: 'POST', body: JSON.stringify(body), headers: {'content-type': 'application/json'},
+			});
+			status = res.statusCode;
+			text = await res.body.text();
+		} catch (error) {
+			throw new PlatformError(PlatformFault.NoReply, `the platform gave no reply to ${path}`, {cause: error});
+		}
+
+		if (status !== 200) {
+			throw new PlatformError(PlatformFault.Refused, `the platform answered ${path} with status ${status}`);
+		}
+
+		return (JSON.parse(text) as {result?: T}).result as T;
+	}
+}
--- /dev/null
+++ b/packages/platform/src/memory/table.ts
@@ -0,0 +1,53 @@
+import type {
+	CommitResult, Row, RowWrite, ScanResult, Table,
+} from '../table.js';
+
+/** A table in this process's memory, for the embedded default and for stand-ins. */
+export class MemoryTable implements Table {
+	readonly #rows = new Map<string, Row>();
+	#version = 0;
+
+	async read(key: string): Promise<Row | undefined> {
+		const row = this.#rows.get(key);
+		return row?.value === undefined ? undefined : structuredClone(row);
+	}
+
+	async scan(prefix: string, afterVersion: number): Promise<ScanResult> {
+		const rows: Row[] = [];
+		for (const row of this.#rows.values()) {
+			if (row.version > afterVersion && row.key.startsWith(prefix)) {
+				rows.push(structuredClone(row));
+			}
+		}
+
+		rows.sort((a, b) => a.version - b.version);
+		return {rows, upTo: this.#version};
+	}
+
+	async commit(writes: readonly RowWrite[]): Promise<CommitResult> {
+		const conflicts: string[] = [];
+		for (const {key, expected} of writes) {
+			if (expected !== undefined && expected !== this.#versionOf(key)) {
+				conflicts.push(key);
+			}
+		}
+
+		if (conflicts.length > 0) {
+			return {ok: false, conflicts};
+		}
+
+		this.#version++;
+		for (const {key, value} of writes) {
+			// Moves the row to the end, so that iteration follows the versions.
+			this.#rows.delete(key);
+			this.#rows.set(key, {key, value: structuredClone(value), version: this.#version});
+		}
+
+		return {ok: true, version: this.#version};
+	}
+
+	#versionOf(key: string): number {
+		const row = this.#rows.get(key);
+		return row?.value === undefined ? 0 : row.version;
+	}
+}
--- /dev/null
+++ b/packages/routing/src/blocks.ts
@@ -0,0 +1,116 @@
+import {maskWord, type Prefix} from '@apricotwood/agreement';
+import {NO_VALUE, PrefixTable} from './table.js';
+
+/** Most sites that blocks may name, by the 16 bits kept for each. */
+const MAX_SITES = NO_VALUE;
+
+/** The block that covers an address. */
+export type BlockMatch = {
+	readonly site: string;
+	/** Length of the block's prefix in bits. */
+	readonly bits: number;
+};
+
+/**
+ * Client blocks with longest-prefix look-up: one hash table for each prefix
+ * length in use, probed from the longest down. A change of one block costs one
+ * cell, so that a patch does not rebuild the whole.
+ */
+export class BlockTable {
+	readonly #ipv4 = new LengthTables(false);
+	readonly #ipv6 = new LengthTables(true);
+	readonly #sites: string[] = [];
+	readonly #siteIndex = new Map<string, number>();
+
+	get size(): number {
+		return this.#ipv4.size + this.#ipv6.size;
+	}
+
+	/** Bytes held by the tables. */
+	get byteLength(): number {
+		return this.#ipv4.byteLength + this.#ipv6.byteLength;
+	}
+
+	/** @throws {RangeError} when blocks name more sites than the table can tell apart. */
+	set(prefix: Prefix, site: string): void {
+		this.#tablesOf(prefix.family).at(prefix.bits).set(prefix.high, prefix.low, this.#indexOf(site));
+	}
+
+	delete(prefix: Prefix): boolean {
+		return this.#tablesOf(prefix.family).at(prefix.bits).delete(prefix.high, prefix.low);
+	}
+
+	/** The longest block that covers an address, if any does. */
+	find(address: Omit<Prefix, 'bits'>): BlockMatch | undefined {
+		const tables = this.#tablesOf(address.family);
+		for (const bits of tables.lengths) {
+			const value = tables.at(bits).get(maskWord(address.high, bits), maskWord(address.low, bits - 32));
+			if (value !== NO_VALUE) {
+				return {site: this.#sites[value] ?? '', bits};
+			}
+		}
+
+		return undefined;
+	}
+
+	#tablesOf(family: 4 | 6): LengthTables {
+		return family === 4 ? this.#ipv4 : this.#ipv6;
+	}
+
+	#indexOf(site: string): number {
+		let index = this.#siteIndex.get(site);
+		if (index === undefined) {
+			index = this.#sites.length;
+			if (index >= MAX_SITES) {
+				throw new RangeError(`client blocks name more than ${MAX_SITES} sites; use fewer sites`);
+			}
+
+			this.#sites.push(site);
+			this.#siteIndex.set(site, index);
+		}
+
+		return index;
+	}
+}
+
+/** The tables of one address family, by prefix length. */
+class LengthTables {
+	readonly #tables = new Map<number, PrefixTable>();
+	#lengths: number[] = [];
+
+	constructor(private readonly isWide: boolean) {}
+
+	/** Prefix lengths in use, longest first. */
+	get lengths(): readonly number[] {
+		return this.#lengths;
+	}
+
+	get size(): number {
+		let size = 0;
+		for (const table of this.#tables.values()) {
+			size += table.size;
+		}
+
+		return size;
+	}
+
+	get byteLength(): number {
+		let bytes = 0;
+		for (const table of this.#tables.values()) {
+			bytes += table.byteLength;
+		}
+
+		return bytes;
+	}
+
+	at(bits: number): PrefixTable {
+		let table = this.#tables.get(bits);
+		if (!table) {
+			table = new PrefixTable(this.isWide);
+			this.#tables.set(bits, table);
+			this.#lengths = [...this.#lengths, bits].toSorted((a, b) => b - a);
+		}
+
+		return table;
+	}
+}
--- /dev/null
+++ b/packages/routing/src/table.ts
@@ -0,0 +1,133 @@
+import {mixHashes} from './hash.js';
+
+const INITIAL_CAPACITY = 16;
+const MAX_LOAD = 0.75;
+
+/** Value of an address that no block covers, and of a vacant cell. */
+export const NO_VALUE = 0xFF_FF;
+
+/**
+ * Open-addressing hash table from a 64-bit prefix to a 16-bit value, with
+ * linear probing (Knuth, The Art of Computer Programming 3, 6.4, algorithm L;
+ * deletion by algorithm R). Typed arrays keep it at 6 or 10 bytes a cell.
+ */
+export class PrefixTable {
+	#high = new Uint32Array(INITIAL_CAPACITY);
+	#low: Uint32Array | undefined;
+	#value = new Uint16Array(INITIAL_CAPACITY).fill(NO_VALUE);
+	#size = 0;
+
+	/** @param isWide whether the lower 32 bits count (IPv6). */
+	constructor(private readonly isWide: boolean) {
+		this.#low = isWide ? new Uint32Array(INITIAL_CAPACITY) : undefined;
+	}
+
+	get size(): number {
+		return this.#size;
+	}
+
+	/** Bytes held by the table. */
+	get byteLength(): number {
+		return this.#high.byteLength + this.#value.byteLength + (this.#low?.byteLength ?? 0);
+	}
+
+	get(high: number, low: number): number {
+		return this.#value[this.#find(high, low)] ?? NO_VALUE;
+	}
+
+	set(high: number, low: number, value: number): void {
+		const cell = this.#find(high, low);
+		if (this.#value[cell] !== NO_VALUE) {
+			this.#value[cell] = value;
+			return;
+		}
+
+		this.#store(cell, high, low, value);
+		this.#size++;
+		if (this.#size > this.#value.length * MAX_LOAD) {
+			this.#resize(this.#value.length * 2);
+		}
+	}
+
+	/** @returns whether the prefix was there. */
+	delete(high: number, low: number): boolean {
+		const cell = this.#find(high, low);
+		if (this.#value[cell] === NO_VALUE) {
+			return false;
+		}
+
+		this.#value[cell] = NO_VALUE;
+		this.#size--;
+		this.#closeGap(cell);
+		return true;
+	}
+
+	/** Makes room for `count` prefixes at once. */
+	reserve(count: number): void {
+		let capacity = this.#value.length;
+		while (count > capacity * MAX_LOAD) {
+			capacity *= 2;
+		}
+
+		if (capacity > this.#value.length) {
+			this.#resize(capacity);
+		}
+	}
+
+	#find(high: number, low: number): number {
+		const mask = this.#value.length - 1;
+		let cell = mixHashes(high, low) & mask;
+		while (this.#value[cell] !== NO_VALUE) {
+			if (this.#high[cell] === high && (!this.#low || this.#low[cell] === low)) {
+				return cell;
+			}
+
+			cell = (cell + 1) & mask;
+		}
+
+		return cell;
+	}
+
+	#store(cell: number, high: number, low: number, value: number): void {
+		this.#high[cell] = high;
+		this.#value[cell] = value;
+		if (this.#low) {
+			this.#low[cell] = low;
+		}
+	}
+
+	/** Moves later cells of the probe chain back over a freed one. */
+	#closeGap(freed: number): void {
+		const mask = this.#value.length - 1;
+		let gap = freed;
+		for (let cell = (gap + 1) & mask; this.#value[cell] !== NO_VALUE; cell = (cell + 1) & mask) {
+			const high = this.#high[cell] ?? 0;
+			const low = this.#low?.[cell] ?? 0;
+			const home = mixHashes(high, low) & mask;
+			if (((cell - home) & mask) < ((cell - gap) & mask)) {
+				continue;
+			}
+
+			this.#store(gap, high, low, this.#value[cell] ?? NO_VALUE);
+			this.#value[cell] = NO_VALUE;
+			gap = cell;
+		}
+	}
+
+	#resize(capacity: number): void {
+		const [high, low, value] = [this.#high, this.#low, this.#value];
+		this.#high = new Uint32Array(capacity);
+		this.#low = this.isWide ? new Uint32Array(capacity) : undefined;
+		this.#value = new Uint16Array(capacity).fill(NO_VALUE);
+		for (const [cell, held] of value.entries()) {
+			if (held === NO_VALUE) {
+				continue;
+			}
+
+			const oldHigh = high[cell] ?? 0;
+			const oldLow = low?.[cell] ?? 0;
+			this.#store(this.#find(oldHigh, oldLow), oldHigh, oldLow, held);
+		}
+	}
+}
+
--- /dev/null
+++ b/packages/standin/src/deployment.ts
@@ -0,0 +1,129 @@
+import {
+	Priority, Repeat, checkAgreement, diffAgreements, EMPTY_AGREEMENT, type Agreement, type Patch,
+} from '@apricotwood/agreement';
+
+/** One service of a deployment of the brief, with the size of its pool. */
+type ServiceSize = {
+	readonly name: string;
+	readonly repeat: Repeat;
+	readonly workers: number;
+	readonly slots: number;
+	readonly deadlineMs: number;
+};
+
+/** A deployment of the brief: its places, services and links. */
+export type Deployment = {
+	readonly name: string;
+	readonly priority: Priority;
+	readonly regions: readonly string[];
+	readonly services: readonly ServiceSize[];
+	/** Each pair of regions, each way. */
+	readonly linkMbit: number;
+	readonly zoneDelayMs: number;
+	readonly regionDelayMs: number;
+	readonly clientDelayMs: number;
+	readonly members: readonly string[];
+};
+
+const UPLOAD_DEADLINE_MS = 600_000;
+
+/** Fraser Reach Nosing Works, which weighs headroom most. */
+export const FRASER_REACH: Deployment = {
+	name: 'fraser-reach',
+	priority: Priority.Headroom,
+	regions: ['lower-mainland', 'okanagan', 'island'],
+	services: [
+		{
+			name: 'catalogue', repeat: Repeat.Idempotent, workers: 16, slots: 6, deadlineMs: 2000,
+		},
+		{
+			name: 'dispatch', repeat: Repeat.AtMostOnce, workers: 12, slots: 4, deadlineMs: 5000,
+		},
+		{
+			name: 'photo-intake', repeat: Repeat.Upload, workers: 12, slots: 3, deadlineMs: UPLOAD_DEADLINE_MS,
+		},
+		{
+			name: 'orders', repeat: Repeat.AtMostOnce, workers: 12, slots: 3, deadlineMs: 5000,
+		},
+	],
+	linkMbit: 4000,
+	zoneDelayMs: 3,
+	regionDelayMs: 12,
+	clientDelayMs: 3,
+	members: ['site-crews', 'contractors', 'installers'],
+};
+
+/** Hooghly Oars Franchise Office, which weighs latency most. */
+export const HOOGHLY_OARS: Deployment = {
+	name: 'hooghly-oars',
+	priority: Priority.Latency,
+	regions: ['kolkata', 'siliguri', 'durgapur'],
+	services: [
+		{
+			name: 'fleet-board', repeat: Repeat.Idempotent, workers: 18, slots: 5, deadlineMs: 2000,
+		},
+		{
+			name: 'booking-desk', repeat: Repeat.AtMostOnce, workers: 12, slots: 3, deadlineMs: 5000,
+		},
+		{
+			name: 'footage-locker', repeat: Repeat.Upload, workers: 12, slots: 3, deadlineMs: UPLOAD_DEADLINE_MS,
+		},
+		{
+			name: 'crew-sheet', repeat: Repeat.AtMostOnce, workers: 12, slots: 3, deadlineMs: 5000,
+		},
+	],
+	linkMbit: 280,
+	zoneDelayMs: 5,
+	regionDelayMs: 55,
+	clientDelayMs: 1,
+	members: ['clubs', 'coaches', 'franchise-office'],
+};
+
+/** Where a worker listens. */
+export type PlaceWorker = (name: string, index: number) => {readonly address: string; readonly port: number};
+
+const ZONES_PER_REGION = 2;
+
+/** The zones of a region. */
+export function zonesOf(region: string): string[] {
+	return Array.from({length: ZONES_PER_REGION}, (_, index) => `${region}-${index + 1}`);
+}
+
+/** Writes a deployment as an agreement: a site in each zone, workers spread evenly, one cap a member. */
+export function createAgreement(deployment: Deployment, placeWorker: PlaceWorker): Agreement {
+	const {regions, services, members, linkMbit, priority} = deployment;
+	const zones = regions.flatMap(region => zonesOf(region));
+	const workers: Array<Record<string, unknown>> = [];
+	for (const service of services) {
+		for (let index = 0; index < service.workers; index++) {
+			const name = `${service.name}-${index + 1}`;
+			workers.push({
+				name, service: service.name, site: `${zones[index % zones.length]}-site`, slots: service.slots, ...placeWorker(name, workers.length),
+			});
+		}
+	}
+
+	const pairs = regions.flatMap(from => regions.filter(to => to !== from).map(to => ({from, to})));
+	const totalSlots = services.reduce((sum, {workers: count, slots}) => sum + (count * slots), 0);
+	return checkAgreement({
+		priority,
+		regions: regions.map(name => ({name, zones: zonesOf(name)})),
+		sites: zones.map(zone => ({name: `${zone}-site`, zone})),
+		services: services.map(({name, repeat, deadlineMs}) => ({
+			name, repeat, deadlineMs, linkMbit: repeat === Repeat.Upload ? 20 : 1,
+		})),
+		workers,
+		members: members.map(name => ({name, caps: [{service: '*', concurrent: totalSlots}]})),
+		links: pairs.map(({from, to}) => ({from, to, mbit: linkMbit})),
+		shifts: pairs.map(({from, to}) => ({
+			name: `${from}-to-${to}`, service: '*', from, to, percent: 0, cap: 20,
+		})),
+		blocks: zones.map((zone, index) => ({prefix: `127.${index + 1}.0.0/16`, site: `${zone}-site`})),
+		drains: [],
+	});
+}
+
+/** The first patch of a deployment: all of an agreement against version 0. */
+export function createFirstPatch(agreement: Agreement): Patch {
+	return {id: 'first', against: 0, changes: diffAgreements(EMPTY_AGREEMENT, agreement)};
+}
--- /dev/null
+++ b/packages/supervisor/src/index.ts
@@ -0,0 +1,3 @@
+export {
+	ChildPhase, Supervisor, type Child, type SupervisorOptions,
+} from './supervisor.js';
--- /dev/null
+++ b/packages/telemetry/src/log.ts
@@ -0,0 +1,86 @@
+import {Logger} from 'tslog';
+import type {Clock} from '@apricotwood/clock';
+import type {LineSink} from './sink.js';
+
+/** How log lines look. */
+export enum LogFormat {
+	Json = 'json',
+	Pretty = 'pretty',
+}
+
+/** Least severe level that is logged, in tslog's numbers. */
+export enum LogLevel {
+	Debug = 2,
+	Info = 3,
+	Warn = 4,
+	Error = 5,
+}
+
+export type LogOptions = {
+	readonly format: LogFormat;
+	readonly level: LogLevel;
+	readonly sink: LineSink;
+	readonly clock: Clock;
+	/** Fields of every line, such as the host's id. */
+	readonly fields: Readonly<Record<string, string>>;
+};
+
+/** The fields of one line; `event` names what happened and is listed in the operators' pages. */
+export type LogFields = {readonly event: string} & Readonly<Record<string, unknown>>;
+
+/** Structured log. Each call writes one line. */
+export interface Log {
+	debug(fields: LogFields): void;
+	info(fields: LogFields): void;
+	warn(fields: LogFields): void;
+	error(fields: LogFields): void;
+}
+
+/**
+ * Creates a log by tslog. In JSON form tslog's own masking, cloning and search
+ * for the source position are replaced: they cost more than a whole look-up.
+ */
+export function createLog(options: LogOptions): Log {
+	return options.format === LogFormat.Json ? createJsonLog(options) : createPrettyLog(options);
+}
+
+function createJsonLog({level, sink, clock, fields}: LogOptions): Log {
+	const fixed = JSON.stringify(fields).slice(1, -1);
+	const tail = fixed === '' ? '' : `,${fixed}`;
+	return new Logger<LogFields>({
+		type: 'json',
+		minLevel: level,
+		hideLogPositionForProduction: true,
+		overwrite: {
+			mask: args => args,
+			toLogObj: args => args[0] as LogFields,
+			addMeta: (logObject, _id, levelName) => Object.assign(logObject, {_meta: levelName}) as never,
+			transportJSON(logObject) {
+				const {_meta: levelName, ...rest} = logObject as {_meta: string};
+				sink.write(`{"at":${clock.now()},"level":"${levelName}"${tail},${JSON.stringify(rest).slice(1)}`);
+			},
+		},
+	});
+}
+
+function createPrettyLog({level, sink, fields}: LogOptions): Log {
+	return new Logger<LogFields>({
+		type: 'pretty',
+		minLevel: level,
+		hideLogPositionForProduction: true,
+		prettyLogTemplate: `{{yyyy}}-{{mm}}-{{dd}} {{hh}}:{{MM}}:{{ss}}.{{ms}} {{logLevelName}} ${Object.values(fields).join(' ')} `,
+		overwrite: {
+			transportFormatted(meta, args) {
+				sink.write(`${meta}${args.join(' ')}`);
+			},
+		},
+	});
+}
+
+/** A log that writes nothing. */
+export const SILENT_LOG: Log = {
+	debug() {},
+	info() {},
+	warn() {},
+	error() {},
+};
