--- /dev/null
+++ b/packages/cli/src/base.ts
@@ -0,0 +1,76 @@
+import {readFileSync} from 'node:fs';
+import {Command, Flags} from '@oclif/core';
+import VError from 'verror';
+import {ApiClient, ApiErrorName} from './client.js';
+
+/** How a command ends. */
+export enum ExitCode {
+	Ok = 0,
+	/** The host refused, or did not answer. */
+	Failed = 1,
+	BadInput = 2,
+	/** The patch was made against an older version. */
+	Stale = 3,
+}
+
+/** What every command has: where the host is, who asks, and JSON output. */
+export abstract class BaseCommand extends Command {
+	static override enableJsonFlag = true;
+
+	static override baseFlags = {
+		host: Flags.string({description: 'origin of any entry host', env: 'APRICOTWOOD_HOST', default: 'http://127.0.0.1:8401'}),
+		token: Flags.string({description: 'operator\'s token', env: 'APRICOTWOOD_TOKEN'}),
+	};
+
+	protected createClient({host, token}: {host: string; token?: string | undefined}): ApiClient {
+		return new ApiClient(host, token);
+	}
+
+	/** Prints rows as an aligned table. */
+	protected printTable(head: readonly string[], rows: ReadonlyArray<ReadonlyArray<string | number | undefined>>): void {
+		const lines = [head, ...rows].map(row => row.map(cell => String(cell ?? '-')));
+		const widths = head.map((_title, column) => Math.max(...lines.map(line => line[column]?.length ?? 0)));
+		for (const line of lines) {
+			this.log(line.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join('  ').trimEnd());
+		}
+	}
+
+	/** Reads a JSON file, or standard input for `-`. */
+	protected readJson(path: string): unknown {
+		try {
+			return JSON.parse(readFileSync(path === '-' ? 0 : path, 'utf8'));
+		} catch (error) {
+			this.error(`${path}: ${(error as Error).message}; give a readable JSON file`, {exit: ExitCode.BadInput});
+		}
+	}
+
+	protected override async catch(error: Error & {exitCode?: number}): Promise<unknown> {
+		switch (error.name) {
+			case ApiErrorName.Stale as string: {
+				this.#printStale(error);
+				return super.catch(Object.assign(error, {oclif: {exit: ExitCode.Stale}}));
+			}
+
+			case ApiErrorName.Refused as string:
+			case ApiErrorName.Unreachable as string: {
+				return super.catch(Object.assign(error, {oclif: {exit: ExitCode.Failed}}));
+			}
+
+			case 'FindingsError': {
+				return super.catch(Object.assign(error, {oclif: {exit: ExitCode.BadInput}}));
+			}
+
+			default: {
+				return super.catch(error);
+			}
+		}
+	}
+
+	/** Lists what was accepted since the version that a stale patch was made against. */
+	#printStale(error: Error): void {
+		const {answer} = VError.info(error) as {answer?: {since?: Array<{version: number; operator: string; patchId: string; changes: unknown[]}>}};
+		for (const {version, operator, patchId, changes} of answer?.since ?? []) {
+			this.logToStderr(`version ${version}, patch ${patchId} by ${operator}: ${JSON.stringify(changes)}`);
+		}
+	}
+}
--- /dev/null
+++ b/packages/cli/src/commands.ts
@@ -0,0 +1,28 @@
+import AgreementApply from './commands/agreement/apply.js';
+import AgreementCheck from './commands/agreement/check.js';
+import AgreementHistory from './commands/agreement/history.js';
+import AgreementPlan from './commands/agreement/plan.js';
+import AgreementShow from './commands/agreement/show.js';
+import AgreementStatus from './commands/agreement/status.js';
+import Drain from './commands/drain.js';
+import Explain from './commands/explain.js';
+import HostList from './commands/host/list.js';
+import LedgerShow from './commands/ledger/show.js';
+import Lookup from './commands/lookup.js';
+import Undrain from './commands/undrain.js';
+
+/** Every command by its id; oclif reads this table. */
+export const commands = {
+	lookup: Lookup,
+	explain: Explain,
+	drain: Drain,
+	undrain: Undrain,
+	'host:list': HostList,
+	'ledger:show': LedgerShow,
+	'agreement:check': AgreementCheck,
+	'agreement:plan': AgreementPlan,
+	'agreement:apply': AgreementApply,
+	'agreement:show': AgreementShow,
+	'agreement:history': AgreementHistory,
+	'agreement:status': AgreementStatus,
+};
--- a/test/path/whole-path.test.ts
+++ b/test/path/whole-path.test.ts
@@ -33,7 +33,7 @@
 		{method: 'PUT', path: '/s/locker/race.mp4', body: 'x'.repeat(300_000), bytes: 300_000},
 	];
 	for (const {bytes, ...one} of cases) {
-		const answer = await call(rig.port, {...one, headers: {'apricotwood-member': 'club'}}); // eslint-disable-line no-await-in-loop
+		const answer = await call(rig.port, {...one, headers: {'apricotwood-member': 'club'}});
 		const body = JSON.parse(answer.body) as {bytes: number; path: string};
 		assert.equal(answer.status, 200);
 		assert.equal(answer.headers['apricotwood-outcome'], 'answered');
@@ -55,7 +55,7 @@
 	await rig.patch([{kind: 'set', section: 'drains', item: {kind: 'worker', name: 'board-1'}}]);
 	const before = rig.worker('board-1').runs.length;
 	for (let index = 0; index < 10; index++) {
-		const answer = await call(rig.port, {path: '/s/board/x', headers: {'apricotwood-member': 'club'}}); // eslint-disable-line no-await-in-loop
+		const answer = await call(rig.port, {path: '/s/board/x', headers: {'apricotwood-member': 'club'}});
 		assert.equal(answer.headers['apricotwood-worker'], 'board-2');
 	}
 
