--- a/packages/daemon/src/host/host.ts
+++ b/packages/daemon/src/host/host.ts
@@ -188,6 +188,11 @@
 		return this.life.phase === HostPhase.Ready;
 	}
 
+	/** Units in use by running requests; 0 when none runs. */
+	get unitsInUse(): number {
+		return this.#holdings.inUse;
+	}
+
 	/** Calls made to the platform so far. */
 	get platformCalls(): Readonly<{reads: number; writes: number; failures: number}> {
 		return this.#guard.counts;
--- a/packages/daemon/src/request/delivery.ts
+++ b/packages/daemon/src/request/delivery.ts
@@ -91,6 +91,7 @@
 	#mayHaveRun = false;
 	#bodyIsSpent = false;
 	#isOver = false;
+	readonly #ended = new AbortController();
 	#deadline: Timer | undefined;
 	#hedge: Timer | undefined;
 	#resolve: (result: DeliveryResult) => void = () => {};
@@ -302,15 +303,38 @@
 		}
 
 		const result = this.deps.admission.place(this.ctx.service.name, this.claims, this.#avoid);
-		if (!result.ok) {
-			return false;
+		if (result.ok) {
+			this.#launchRetry(result.placement, failure);
+		} else {
+			void this.#retryLater(failure);
 		}
 
-		this.deps.onExtraAttempt(this.ctx, ExtraAttempt.Retry, result.placement, failure.code);
-		this.#launch(result.placement);
 		return true;
 	}
 
+	#launchRetry(placement: Placement, failure: AttemptFailure): void {
+		this.deps.onExtraAttempt(this.ctx, ExtraAttempt.Retry, placement, failure.code);
+		this.#launch(placement);
+	}
+
+	/** Waits in the queue for room at any worker, one that failed before included. */
+	async #retryLater(failure: AttemptFailure): Promise<void> {
+		const result = await this.deps.admission.waitForPlace(this.ctx, this.claims, this.#ended.signal);
+		if (this.#isOver) {
+			if (result.ok) {
+				result.placement.units.release();
+			}
+
+			return;
+		}
+
+		if (result.ok) {
+			this.#launchRetry(result.placement, failure);
+		} else {
+			this.#finish(this.#outcomeNow(), this.#refusalOf(failure));
+		}
+	}
+
 	/** Whether no byte of a streamed body has been read yet, so that another attempt can send it. */
 	get #bodyIsUntouched(): boolean {
 		return this.#bodyIsStreaming && !this.ctx.req.readableDidRead;
@@ -431,6 +455,7 @@
 		}
 
 		this.#isOver = true;
+		this.#ended.abort();
 		this.#deadline?.cancel();
 		this.#hedge?.cancel();
 		const isWhole = outcome === Outcome.Answered && this.isKept && this.#keptBytes <= this.deps.maxStoredBytes;
--- a/packages/daemon/src/server/server.ts
+++ b/packages/daemon/src/server/server.ts
@@ -50,7 +50,13 @@
 	addOperatorRoutes(app, deps.operator);
 	addPeerRoutes(app, deps);
 	server.on('request', app.handler as unknown as (req: IncomingMessage, res: ServerResponse) => void);
-	server.on('clientError', refuseUnreadable);
+	const answering = new WeakMap<Socket, ServerResponse>();
+	server.prependListener('request', (req: IncomingMessage, res: ServerResponse) => {
+		answering.set(req.socket, res);
+	});
+	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+		refuseUnreadable(error, socket, answering.get(socket));
+	});
 	return server;
 }
 
@@ -132,8 +138,15 @@
 	return typeof name === 'string' ? name : undefined;
 }
 
-/** Answers what cannot be read as HTTP; such a request was never run. */
-function refuseUnreadable(error: NodeJS.ErrnoException, socket: Socket): void {
+/** Answers what cannot be read as HTTP; such a request was never run. An answer under way on the connection ends first. */
+function refuseUnreadable(error: NodeJS.ErrnoException, socket: Socket, answering: ServerResponse | undefined): void {
+	if (answering && answering.req.complete && !answering.writableFinished && !answering.destroyed) {
+		answering.once('finish', () => {
+			refuseUnreadable(error, socket, undefined);
+		});
+		return;
+	}
+
 	if (error.code === 'ECONNRESET' || !socket.writable) {
 		socket.destroy();
 		return;
--- a/packages/ledger/src/holdings.ts
+++ b/packages/ledger/src/holdings.ts
@@ -19,15 +19,16 @@
 		return holding;
 	}
 
-	/** Whether any unit of any resource is in use, by a running request. */
-	get isBusy(): boolean {
+	/** Units in use by running requests, over all resources but rates. */
+	get inUse(): number {
+		let units = 0;
 		for (const [key, holding] of this.#byKey) {
-			if (holding.inUse > 0 && !key.startsWith(`${ResourceKind.Rate}/`)) {
-				return true;
+			if (!key.startsWith(`${ResourceKind.Rate}/`)) {
+				units += holding.inUse;
 			}
 		}
 
-		return false;
+		return units;
 	}
 
 	/** Takes the grant of every resource that the agreement no longer names. */
--- /dev/null
+++ b/test/faults/callers.test.ts
@@ -0,0 +1,180 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {request, type IncomingMessage} from 'node:http';
+import {connect} from 'node:net';
+import {after, before, test} from 'node:test';
+import {createHash} from 'node:crypto';
+import {Rig, call, until, type Call} from '../fixtures/rig.js';
+
+const KEY = 'the-key-of-the-guarded-member';
+
+let rig: Rig;
+before(async () => {
+	rig = await Rig.start({
+		settings: {request: {stallMs: 200, maxBufferedBytes: 1000}},
+		change(agreement) {
+			agreement.members?.push(
+				{name: 'guarded', keyHash: createHash('sha256').update(KEY).digest('hex'), caps: [{service: 'board', concurrent: 5}]},
+				{name: 'rated', caps: [{service: '*', concurrent: 5, perSecond: 1}]},
+			);
+		},
+	});
+});
+after(async () => {
+	await rig.stop();
+});
+
+function countRuns(): number {
+	let runs = 0;
+	for (const worker of rig.workers.values()) {
+		runs += worker.runs.length;
+	}
+
+	return runs;
+}
+
+const club = {'apricotwood-member': 'club'};
+
+type Row = {readonly name: string; readonly send: Call; readonly status: number; readonly code: string; readonly outcome?: string};
+
+const ROWS: readonly Row[] = [
+	{name: 'an unknown service', send: {path: '/s/nope/x', headers: club}, status: 404, code: 'unknown-service'},
+	{name: 'an unknown member', send: {path: '/s/board/x', headers: {'apricotwood-member': 'nobody'}}, status: 403, code: 'unknown-member'},
+	{name: 'no member', send: {path: '/s/board/x'}, status: 400, code: 'bad-header'},
+	{name: 'a member without a cap for the service', send: {path: '/s/desk/x', headers: {'apricotwood-member': 'guarded'}}, status: 403, code: 'not-allowed'},
+	{name: 'a missing key', send: {path: '/s/board/x', headers: {'apricotwood-member': 'guarded'}}, status: 401, code: 'bad-key'},
+	{name: 'a wrong key', send: {path: '/s/board/x', headers: {'apricotwood-member': 'guarded', 'apricotwood-key': 'wrong'}}, status: 401, code: 'bad-key'},
+	{name: 'a malformed deadline', send: {path: '/s/board/x', headers: {...club, 'apricotwood-deadline-ms': 'soon'}}, status: 400, code: 'bad-header'},
+	{name: 'a deadline already past', send: {path: '/s/board/x', headers: {...club, 'apricotwood-deadline-ms': '-5'}}, status: 408, code: 'deadline-passed'},
+	{name: 'a malformed request id', send: {path: '/s/board/x', headers: {...club, 'apricotwood-request-id': 'a b'}}, status: 400, code: 'bad-header'},
+	{name: 'a forged message between hosts', send: {path: '/s/board/x', headers: {...club, 'apricotwood-forward': 'e30.1.x'}}, status: 400, code: 'bad-header'},
+	{name: 'a body too large to be kept for its id', send: {method: 'POST', path: '/s/desk/x', headers: {...club, 'apricotwood-request-id': 'big', 'content-length': '2000'}, body: 'x'.repeat(2000)}, status: 413, code: 'body-too-large', outcome: 'unknown'},
+	{name: 'a ticket without a request id', send: {method: 'POST', path: '/s/desk/x', headers: {...club, 'apricotwood-ticket': 'a.b'}}, status: 400, code: 'ticket-without-id'},
+];
+
+for (const {name, send, status, code, outcome = 'not-run'} of ROWS) {
+	test(`${name} is refused as ${code} and nothing runs`, async () => {
+		const before = countRuns();
+		const answer = await call(rig.port, send);
+		assert.equal(answer.status, status, answer.body);
+		assert.equal((JSON.parse(answer.body) as {code: string}).code, code);
+		assert.equal(answer.headers['apricotwood-outcome'], outcome);
+		assert.equal(countRuns(), before);
+		assert.equal(rig.hosts[0]?.unitsInUse, 0);
+	});
+}
+
+test('all findings of bad headers come together', async () => {
+	const answer = await call(rig.port, {path: '/s/board/x', headers: {'apricotwood-deadline-ms': 'soon', 'apricotwood-request-id': '?'}});
+	const {message} = JSON.parse(answer.body) as {message: string};
+	assert.deepEqual(message.split('\n').map(line => line.split(':')[0]), ['apricotwood-member', 'apricotwood-request-id', 'apricotwood-deadline-ms']);
+});
+
+test('the right key is let in', async () => {
+	const answer = await call(rig.port, {path: '/s/board/x', headers: {'apricotwood-member': 'guarded', 'apricotwood-key': KEY}});
+	assert.equal(answer.status, 200);
+	assert.equal(rig.workers.size > 0, true);
+});
+
+test('a member over its rate is told when to come back', async () => {
+	const headers = {'apricotwood-member': 'rated'};
+	const [first, second] = await Promise.all([call(rig.port, {path: '/s/board/x', headers}), call(rig.port, {path: '/s/board/x', headers})]);
+	const refused = [first, second].find(answer => answer.status === 429);
+	const body = JSON.parse(refused?.body ?? '{}') as {code: string; retryAfterMs: number};
+	assert.equal(body.code, 'member-rate');
+	assert.ok(body.retryAfterMs > 0 && body.retryAfterMs <= 1000);
+	assert.equal(refused?.headers['apricotwood-outcome'], 'not-run');
+});
+
+/** Sends bytes as they are; gives all that comes back until the connection closes. */
+async function sendRaw(text: string): Promise<string> {
+	const socket = connect(rig.port, '127.0.0.1');
+	socket.write(text);
+	let back = '';
+	socket.on('data', chunk => {
+		back += chunk.toString();
+	});
+	socket.on('error', () => {});
+	await once(socket, 'close');
+	return back;
+}
+
+const RAW_ROWS: ReadonlyArray<readonly [string, string]> = [
+	['length and chunks together', 'POST /s/board/x HTTP/1.1\r\nHost: h\r\nApricotwood-Member: club\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n'],
+	['two lengths', 'POST /s/board/x HTTP/1.1\r\nHost: h\r\nApricotwood-Member: club\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nabcd'],
+	['a length that is no number', 'POST /s/board/x HTTP/1.1\r\nHost: h\r\nApricotwood-Member: club\r\nContent-Length: +4\r\n\r\nabcd'],
+	['a space before a header\'s colon', 'GET /s/board/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding : chunked\r\nApricotwood-Member: club\r\n\r\n'],
+	['chunks that are not last', 'POST /s/board/x HTTP/1.1\r\nHost: h\r\nApricotwood-Member: club\r\nTransfer-Encoding: chunked, identity\r\n\r\nabcd'],
+	['a bare line feed in a header', 'GET /s/board/x HTTP/1.1\r\nHost: h\r\nApricotwood-Member: club\nX: y\r\n\r\n'],
+	['a head larger than the limit', `GET /s/board/x HTTP/1.1\r\nHost: h\r\nX: ${'x'.repeat(20_000)}\r\n\r\n`],
+	['no HTTP at all', 'HELLO\r\n\r\n'],
+];
+
+for (const [name, text] of RAW_ROWS) {
+	test(`${name} is refused as unreadable and nothing runs`, async () => {
+		const before = countRuns();
+		const back = await sendRaw(text);
+		assert.match(back, /^HTTP\/1.1 4\d\d /);
+		assert.match(back, /Apricotwood-Outcome: not-run/);
+		assert.equal(countRuns(), before);
+	});
+}
+
+test('a header that stands twice is refused', async () => {
+	const back = await sendRaw('GET /s/board/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nApricotwood-Member: club\r\nApricotwood-Member: coach\r\n\r\n');
+	assert.match(back, /stands twice/);
+	assert.match(back, /Apricotwood-Outcome: not-run/);
+});
+
+test('what follows a body\'s length is a request of its own and is refused', async () => {
+	const before = countRuns();
+	const back = await sendRaw('POST /s/board/x HTTP/1.1\r\nHost: h\r\nApricotwood-Member: club\r\nContent-Length: 2\r\n\r\nabEXTRA\r\n\r\n');
+	assert.match(back, /Apricotwood-Outcome: answered/);
+	assert.match(back, /HTTP\/1.1 400 /);
+	assert.equal(countRuns(), before + 1);
+});
+
+for (const service of ['desk', 'locker']) {
+	test(`a caller of ${service} that stalls inside its body is told so, and no unit leaks`, async () => {
+		const before = countRuns();
+		const req = request({host: '127.0.0.1', port: rig.port, method: 'POST', path: `/s/${service}/x`, headers: {...club, 'content-length': '100', 'apricotwood-request-id': `stall-${service}`}});
+		req.write('abc');
+		const [res] = await once(req, 'response') as [IncomingMessage];
+		assert.equal(res.statusCode, 408);
+		res.resume();
+		req.on('error', () => {});
+		await until(() => rig.hosts[0]?.unitsInUse === 0);
+		assert.equal(countRuns(), before);
+	});
+
+	test(`a caller of ${service} that leaves inside its body leaves nothing behind`, async () => {
+		const before = countRuns();
+		const req = request({host: '127.0.0.1', port: rig.port, method: 'POST', path: `/s/${service}/x`, headers: {...club, 'content-length': '100', 'apricotwood-request-id': `leave-${service}`}});
+		req.on('error', () => {});
+		req.write('abc');
+		await until(() => rig.lines.some(line => line.reqId === `leave-${service}`) || service === 'desk');
+		req.destroy();
+		await until(() => rig.hosts[0]?.unitsInUse === 0);
+		assert.equal(countRuns(), before);
+	});
+}
+
+test('a caller of an idempotent service that leaves cancels its worker', async () => {
+	for (const worker of rig.workers.values()) {
+		worker.serviceMs = 2000;
+	}
+
+	const req = request({host: '127.0.0.1', port: rig.port, path: '/s/board/slow', headers: club});
+	req.on('error', () => {});
+	req.end();
+	const busy = () => [...rig.workers.values()].find(worker => worker.running > 0);
+	await until(() => busy() !== undefined);
+	const worker = busy();
+	const cancelled = worker?.cancelled ?? 0;
+	req.destroy();
+	await until(() => (worker?.cancelled ?? 0) > cancelled);
+	await until(() => rig.hosts[0]?.unitsInUse === 0);
+	for (const one of rig.workers.values()) {
+		one.serviceMs = 5;
+	}
+});
--- /dev/null
+++ b/test/faults/upstreams.test.ts
@@ -0,0 +1,137 @@
+import assert from 'node:assert/strict';
+import {after, before, beforeEach, test} from 'node:test';
+import {Behaviour, type StandinWorker} from '@apricotwood/standin';
+import {Rig, call, until, type Answer} from '../fixtures/rig.js';
+
+let rig: Rig;
+before(async () => {
+	rig = await Rig.start({settings: {request: {stallMs: 1000}}});
+});
+after(async () => {
+	await rig.stop();
+});
+
+beforeEach(async () => {
+	for (const worker of rig.workers.values()) {
+		worker.behaviours = [Behaviour.Answer];
+		worker.runs.length = 0;
+	}
+
+	// Workers that failed before rest for a moment; each row starts with both.
+	await until(async () => {
+		const answer = await call(rig.port, {path: '/v1/explain?service=board&member=club&addr=127.0.0.1'});
+		return answer.status === 200 && rig.hosts[0]?.unitsInUse === 0;
+	});
+});
+
+type Kind = 'board' | 'desk';
+
+type Row = {
+	readonly name: string;
+	readonly behaviour: Behaviour;
+	/** Whether only the first request is treated so. */
+	readonly isOnce: boolean;
+	readonly kind: Kind;
+	readonly outcome: string;
+	readonly code?: string;
+	/** Most times that the request may have run. */
+	readonly mostRuns: number;
+	/** Whether the answer must have begun and been cut. */
+	readonly isCut?: boolean;
+};
+
+const ROWS: readonly Row[] = [
+	{name: 'an idempotent request is retried after a reset before the first byte', behaviour: Behaviour.ResetBefore, isOnce: true, kind: 'board', outcome: 'answered', mostRuns: 1},
+	{name: 'an idempotent request is retried after a reset without an answer', behaviour: Behaviour.ResetAfter, isOnce: true, kind: 'board', outcome: 'answered', mostRuns: 2},
+	{name: 'a request that may not be repeated is in doubt after a reset', behaviour: Behaviour.ResetAfter, isOnce: true, kind: 'desk', outcome: 'unknown', code: 'upstream-reset', mostRuns: 1},
+	{name: 'a request that may not be repeated is in doubt after a reset, even one before it ran', behaviour: Behaviour.ResetBefore, isOnce: true, kind: 'desk', outcome: 'unknown', code: 'upstream-reset', mostRuns: 0},
+	{name: 'a shed request runs at another worker', behaviour: Behaviour.Shed, isOnce: true, kind: 'desk', outcome: 'answered', mostRuns: 1},
+	{name: 'a request that every worker sheds did not run', behaviour: Behaviour.Shed, isOnce: false, kind: 'desk', outcome: 'not-run', code: 'upstream-shed', mostRuns: 0},
+	{name: 'an answer to another attempt is never passed on', behaviour: Behaviour.WrongAttempt, isOnce: false, kind: 'desk', outcome: 'unknown', code: 'upstream-mismatch', mostRuns: 1},
+	{name: 'an idempotent request is retried after a crossed answer', behaviour: Behaviour.WrongAttempt, isOnce: true, kind: 'board', outcome: 'answered', mostRuns: 2},
+	{name: 'an answer without a length is not taken for whole', behaviour: Behaviour.Unframed, isOnce: false, kind: 'desk', outcome: 'unknown', code: 'upstream-unframed', mostRuns: 1},
+	{name: 'an answer that never comes is in doubt at the deadline', behaviour: Behaviour.Silent, isOnce: false, kind: 'desk', outcome: 'unknown', code: 'upstream-late', mostRuns: 1},
+	{name: 'a truncated answer is cut for the caller too', behaviour: Behaviour.Truncate, isOnce: false, kind: 'desk', outcome: 'answered', mostRuns: 1, isCut: true},
+	{name: 'an answer that stalls is cut for the caller too', behaviour: Behaviour.Stall, isOnce: false, kind: 'board', outcome: 'answered', mostRuns: 1, isCut: true},
+	{name: 'an upstream\'s own error is its answer', behaviour: Behaviour.Error, isOnce: false, kind: 'desk', outcome: 'answered', mostRuns: 1},
+];
+
+/** Sends one request to the row's service while its workers misbehave. */
+async function sendRow({behaviour, isOnce, kind}: Row, id: string): Promise<Answer> {
+	const workers = [...rig.workers.values()].filter(worker => worker.name.startsWith(kind));
+	if (isOnce) {
+		// Whichever worker is asked first misbehaves; the second one asked does not.
+		const shared = [behaviour, Behaviour.Answer];
+		for (const worker of workers) {
+			worker.behaviours = shared;
+		}
+	} else {
+		for (const worker of workers) {
+			worker.behaviours = [behaviour];
+		}
+	}
+
+	const headers = {'apricotwood-member': 'club', 'apricotwood-request-id': id, 'apricotwood-deadline-ms': '700'};
+	return call(rig.port, {method: kind === 'board' ? 'GET' : 'POST', path: `/s/${kind}/${id}`, headers, ...(kind === 'desk' && {body: 'seat=1'})});
+}
+
+for (const [index, row] of ROWS.entries()) {
+	test(row.name, async () => {
+		const answer = await sendRow(row, `row-${index}`);
+		assert.equal(answer.headers['apricotwood-outcome'], row.outcome, answer.body);
+		if (row.code !== undefined) {
+			assert.equal((JSON.parse(answer.body) as {code: string}).code, row.code);
+		}
+
+		assert.equal(answer.isWhole, row.isCut !== true);
+		const runs = countRuns(rig.workers.values(), `/row-${index}`);
+		assert.ok(runs <= row.mostRuns, `ran ${runs} times`);
+		await until(() => rig.hosts[0]?.unitsInUse === 0);
+	});
+}
+
+function countRuns(workers: Iterable<StandinWorker>, path: string): number {
+	let runs = 0;
+	for (const worker of workers) {
+		runs += worker.runs.filter(run => run.path === path).length;
+	}
+
+	return runs;
+}
+
+test('a worker that cannot be reached is passed over, and a request that may not be repeated still runs once', async () => {
+	await rig.worker('desk-1').stop();
+	for (let index = 0; index < 4; index++) {
+		const answer = await call(rig.port, {method: 'POST', path: '/s/desk/refused', headers: {'apricotwood-member': 'club'}, body: 'x'});
+		assert.equal(answer.headers['apricotwood-worker'], 'desk-2');
+	}
+
+	assert.equal(rig.worker('desk-2').runs.length, 4);
+});
+
+const LIARS: ReadonlyArray<readonly [string, (worker: StandinWorker) => void]> = [
+	['lies about its load', worker => {
+		worker.reportedLoad = -5;
+	}],
+	['reports from the future', worker => {
+		worker.reportSkewMs = 3_600_000;
+	}],
+	['never reports', worker => {
+		worker.isReporting = false;
+	}],
+];
+
+for (const [name, lie] of LIARS) {
+	test(`a worker that ${name} is never given more than its slots`, async () => {
+		const worker = rig.worker('board-1');
+		lie(worker);
+		worker.peak = 0;
+		worker.serviceMs = 20;
+		const answers = await Promise.all(Array.from({length: 12}, async () => call(rig.port, {path: '/s/board/x', headers: {'apricotwood-member': 'club'}})));
+		assert.ok(answers.every(answer => answer.headers['apricotwood-outcome'] === 'answered' || answer.headers['apricotwood-outcome'] === 'not-run'));
+		assert.ok(worker.peak <= 2, `${worker.peak} at one time`);
+		Object.assign(worker, {
+			reportedLoad: undefined, reportSkewMs: 0, isReporting: true, serviceMs: 5,
+		});
+	});
+}
