--- a/packages/agreement/src/check.ts
+++ b/packages/agreement/src/check.ts
@@ -1,10 +1,10 @@
+import {formatPrefix, parsePrefix} from '@apricotwood/blocks';
 import {
 	FindingsError, formatPlace, parseOrThrow, type Finding,
 } from '@apricotwood/findings';
 import {
 	agreementSchema, DrainKind, type Agreement, type Block, type Drain, type Link, type Member, type Shift, type Worker,
 } from './types.js';
-import {parsePrefix} from './prefix.js';
 
 type Names = {
 	readonly regions: ReadonlySet<string>;
@@ -56,7 +56,13 @@
 		throw new FindingsError('agreement', report.findings);
 	}
 
-	return agreement;
+	return {...agreement, blocks: agreement.blocks.map(block => ({...block, prefix: normalisePrefix(block.prefix)}))};
+}
+
+/** The one spelling of a prefix; an unreadable one stays as it is. */
+export function normalisePrefix(text: string): string {
+	const parsed = parsePrefix(text);
+	return parsed.ok ? formatPrefix(parsed.prefix) : text;
 }
 
 function collectNames(agreement: Agreement): Names {
@@ -78,7 +84,7 @@
 	report.expectUnique('members', agreement.members, member => member.name);
 	report.expectUnique('links', agreement.links, link => `${link.from}>${link.to}`);
 	report.expectUnique('shifts', agreement.shifts, shift => shift.name);
-	report.expectUnique('blocks', agreement.blocks, block => block.prefix);
+	report.expectUnique('blocks', agreement.blocks, block => normalisePrefix(block.prefix));
 	report.expectUnique('drains', agreement.drains, drain => `${drain.kind}/${drain.name}`);
 	const zones = agreement.regions.flatMap(region => region.zones);
 	if (new Set(zones).size < zones.length) {
--- a/packages/agreement/src/patch.ts
+++ b/packages/agreement/src/patch.ts
@@ -1,7 +1,10 @@
 import {z} from 'zod';
+import {
+	formatPrefix, parsePrefix, type BlockTable, type Prefix,
+} from '@apricotwood/blocks';
 import {FindingsError, parseOrThrow, type Finding} from '@apricotwood/findings';
-import {Priority, type Agreement} from './types.js';
-import {checkAgreement} from './check.js';
+import {Priority, type Agreement, type CoreAgreement} from './types.js';
+import {checkAgreement, normalisePrefix} from './check.js';
 
 /** What a change does to one item. */
 export enum ChangeKind {
@@ -44,7 +47,6 @@
 export type Patch = z.infer<typeof patchSchema>;
 
 type Item = Record<string, unknown>;
-type Draft = Record<Section, Item[]> & {priority: Priority};
 
 /** The key of an item inside its section, as `remove` names it. */
 export function keyOf(section: Section, item: Item): string {
@@ -77,25 +79,38 @@
 	return parseOrThrow('patch', patchSchema, value);
 }
 
+/** What a patch does to one client block; `site` is undefined for a block that goes. */
+export type BlockChange = {
+	readonly prefix: Prefix;
+	readonly site: string | undefined;
+};
+
+/** The blocks in force, as far as a patch has to know them. */
+export type BlockIndex = Pick<BlockTable, 'get' | 'usesSite'>;
+
+/** The outcome of a patch: the rest of the agreement, and the blocks that change. */
+export type Draft = {
+	readonly core: CoreAgreement;
+	readonly blocks: readonly BlockChange[];
+};
+
+type ItemsByKey = Map<string, Item>;
+
 /**
- * Applies a patch's changes, in order, and checks the outcome as a whole.
- * The given agreement stays as it is.
+ * Applies a patch's changes, in order, and checks the outcome as a whole. The
+ * cost follows the patch and the agreement without its blocks. What was given
+ * stays as it is.
  * @throws {FindingsError} with every finding of the changes and of the outcome.
  */
-export function applyPatch(agreement: Agreement, patch: Patch): Agreement {
-	const draft: Draft = {...agreement};
+export function applyPatch(core: CoreAgreement, blocks: BlockIndex, patch: Patch): Draft {
 	const findings: Finding[] = [];
-	for (const [index, change] of patch.changes.entries()) {
-		const message = applyChange(draft, change);
-		if (message !== undefined) {
-			findings.push({place: `changes[${index}]`, message});
-		}
-	}
-
+	const draft = applyChanges(core, patch.changes, findings);
+	checkBlockChanges(draft, blocks, patch, findings);
+	checkRemovedSites(core, draft, blocks, findings);
 	try {
-		const checked = checkAgreement(draft);
+		const {blocks: _none, ...checked} = checkAgreement({...draft.core, blocks: []});
 		if (findings.length === 0) {
-			return checked;
+			return {core: checked, blocks: draft.blocks};
 		}
 	} catch (error) {
 		if (!(error instanceof FindingsError)) {
@@ -108,27 +123,94 @@
 	throw new FindingsError('patch', findings);
 }
 
-function applyChange(draft: Draft, change: Change): string | undefined {
-	if (change.kind === ChangeKind.Priority) {
-		draft.priority = change.priority;
-		return undefined;
+/** Applies changes that were checked when they were accepted. */
+export function applyChanges(core: CoreAgreement, changes: readonly Change[], findings: Finding[] = []): Draft {
+	const draft: Record<string, unknown> = {...core};
+	const touched = new Map<Section, ItemsByKey>();
+	const blocks: BlockChange[] = [];
+	for (const [index, change] of changes.entries()) {
+		if (change.kind === ChangeKind.Priority) {
+			draft.priority = change.priority;
+		} else if (change.section === Section.Blocks) {
+			applyBlockChange(blocks, change, index, findings);
+		} else {
+			applyItemChange(core, touched, change, index, findings);
+		}
+	}
+
+	for (const [section, items] of touched) {
+		draft[section] = [...items.values()];
 	}
 
+	return {core: draft as unknown as CoreAgreement, blocks};
+}
+
+type ItemChange = Exclude<Change, {kind: ChangeKind.Priority}>;
+
+function applyItemChange(core: CoreAgreement, touched: Map<Section, ItemsByKey>, change: ItemChange, index: number, findings: Finding[]): void {
 	const {section} = change;
-	const items = draft[section];
-	const key = change.kind === ChangeKind.Remove ? change.key : keyOf(section, change.item);
-	const index = items.findIndex(item => keyOf(section, item) === key);
-	if (change.kind === ChangeKind.Remove) {
-		if (index === -1) {
-			return `"${key}" is not in ${section}; nothing to remove`;
+	let items = touched.get(section);
+	if (!items) {
+		const before = core[section as Exclude<Section, Section.Blocks>] as readonly Item[];
+		items = new Map(before.map(item => [keyOf(section, item), item]));
+		touched.set(section, items);
+	}
+
+	if (change.kind === ChangeKind.Set) {
+		items.set(keyOf(section, change.item), change.item);
+	} else if (!items.delete(change.key)) {
+		findings.push({place: `changes[${index}]`, message: `"${change.key}" is not in ${section}; nothing to remove`});
+	}
+}
+
+function applyBlockChange(blocks: BlockChange[], change: ItemChange, index: number, findings: Finding[]): void {
+	const isSet = change.kind === ChangeKind.Set;
+	const text = isSet ? keyOf(Section.Blocks, change.item) : change.key;
+	const parsed = parsePrefix(text);
+	if (!parsed.ok) {
+		findings.push({place: `changes[${index}]`, message: parsed.reason});
+		return;
+	}
+
+	blocks.push({prefix: parsed.prefix, site: isSet ? String(change.item.site) : undefined});
+}
+
+function checkBlockChanges({core, blocks: changed}: Draft, blocks: BlockIndex, {changes}: Patch, findings: Finding[]): void {
+	if (changed.length === 0) {
+		return;
+	}
+
+	const sites = new Set(core.sites.map(site => site.name));
+	const present = new Map<string, boolean>();
+	for (const {prefix, site} of changed) {
+		const key = formatPrefix(prefix);
+		const wasPresent = present.get(key) ?? blocks.get(prefix) !== undefined;
+		if (site === undefined && !wasPresent) {
+			findings.push({place: placeOfBlock(changes, key), message: `"${key}" is not in blocks; nothing to remove`});
 		}
 
-		draft[section] = items.toSpliced(index, 1);
-		return undefined;
+		if (site !== undefined && !sites.has(site)) {
+			findings.push({place: `${placeOfBlock(changes, key)}.item.site`, message: `"${site}" is not a site of this agreement; add it or correct the name`});
+		}
+
+		present.set(key, site !== undefined);
 	}
+}
+
+function placeOfBlock(changes: readonly Change[], key: string): string {
+	const index = changes.findIndex(change => change.kind !== ChangeKind.Priority && change.section === Section.Blocks
+		&& normalisePrefix(change.kind === ChangeKind.Set ? keyOf(Section.Blocks, change.item) : change.key) === key);
+	return `changes[${index}]`;
+}
 
-	draft[section] = index === -1 ? [...items, change.item] : items.with(index, change.item);
-	return undefined;
+/** A site that goes must not be named by a block; removals are rare, so that every block may be looked at. */
+function checkRemovedSites(before: CoreAgreement, draft: Draft, blocks: BlockIndex, findings: Finding[]): void {
+	const left = new Set(draft.core.sites.map(site => site.name));
+	for (const {name} of before.sites) {
+		if (!left.has(name) && blocks.usesSite(name)) {
+			findings.push({place: 'sites', message: `client blocks still name site "${name}"; move them first, in a patch of their own`});
+		}
+	}
 }
 
 /** The smallest list of changes that turns one agreement into another. */
@@ -139,7 +221,9 @@
 	}
 
 	for (const section of Object.values(Section)) {
-		changes.push(...diffSection(section, before[section], after[section]));
+		for (const change of diffSection(section, before[section], after[section])) {
+			changes.push(change);
+		}
 	}
 
 	return changes;
--- a/packages/agreement/src/state.ts
+++ b/packages/agreement/src/state.ts
@@ -1,5 +1,5 @@
 import {
-	DrainKind, Repeat, type Agreement, type Cap, type Link, type Member, type Region, type Service, type Shift, type Worker,
+	DrainKind, Repeat, type CoreAgreement, type Cap, type Link, type Member, type Region, type Service, type Shift, type Worker,
 } from './types.js';
 
 /** One version of the agreement with the indexes that decisions read. Never changed after it is built. */
@@ -14,7 +14,7 @@
 	readonly #drains: ReadonlySet<string>;
 	readonly #workersByPlace = new Map<string, Worker[]>();
 
-	constructor(readonly version: number, readonly agreement: Agreement) {
+	constructor(readonly version: number, readonly agreement: CoreAgreement) {
 		this.regions = indexByName(agreement.regions);
 		this.services = indexByName(agreement.services);
 		this.workers = indexByName(agreement.workers);
--- a/packages/agreement/src/types.ts
+++ b/packages/agreement/src/types.ts
@@ -141,3 +141,5 @@
 export type Drain = z.infer<typeof drainSchema>;
 /** The whole agreement, checked and with defaults filled in. */
 export type Agreement = z.infer<typeof agreementSchema>;
+/** An agreement without its client blocks, which are many and kept in a table of their own. */
+export type CoreAgreement = Omit<Agreement, 'blocks'>;
--- a/packages/routing/src/blocks.ts
+++ b/packages/blocks/src/blocks.ts
@@ -1,4 +1,4 @@
-import {maskWord, type Prefix} from '@apricotwood/agreement';
+import {formatPrefix, maskWord, type Prefix} from './prefix.js';
 import {NO_VALUE, PrefixTable} from './table.js';
 
 /** Most sites that blocks may name, by the 16 bits kept for each. */
@@ -36,6 +36,32 @@
 		this.#tablesOf(prefix.family).at(prefix.bits).set(prefix.high, prefix.low, this.#indexOf(site));
 	}
 
+	/** The site of exactly this block. */
+	get(prefix: Prefix): string | undefined {
+		const value = this.#tablesOf(prefix.family).at(prefix.bits).get(prefix.high, prefix.low);
+		return value === NO_VALUE ? undefined : this.#sites[value];
+	}
+
+	/** Whether any block names a site; looks at every block. */
+	usesSite(site: string): boolean {
+		const index = this.#siteIndex.get(site);
+		return index !== undefined && (this.#ipv4.holds(index) || this.#ipv6.holds(index));
+	}
+
+	/** Every block, in no certain order. */
+	* entries(): Iterable<{prefix: string; site: string}> {
+		for (const [family, tables] of [[4, this.#ipv4], [6, this.#ipv6]] as const) {
+			for (const [bits, high, low, value] of tables.entries()) {
+				yield {
+					prefix: formatPrefix({
+						family, high, low, bits,
+					}), site: this.#sites[value] ?? '',
+				};
+			}
+		}
+	}
+
+	/** @returns whether the block was there. */
 	delete(prefix: Prefix): boolean {
 		return this.#tablesOf(prefix.family).at(prefix.bits).delete(prefix.high, prefix.low);
 	}
@@ -103,6 +129,25 @@
 		return bytes;
 	}
 
+	/** Whether any prefix has a value. */
+	holds(value: number): boolean {
+		for (const table of this.#tables.values()) {
+			if (table.holds(value)) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	* entries(): Iterable<readonly [bits: number, high: number, low: number, value: number]> {
+		for (const [bits, table] of this.#tables) {
+			for (const [high, low, value] of table.entries()) {
+				yield [bits, high, low, value];
+			}
+		}
+	}
+
 	at(bits: number): PrefixTable {
 		let table = this.#tables.get(bits);
 		if (!table) {
--- a/packages/agreement/src/prefix.ts
+++ b/packages/blocks/src/prefix.ts
@@ -57,6 +57,16 @@
 	return {family: 6, high: joinWords(a, b), low: joinWords(c, d)};
 }
 
+/** Writes a prefix in its one spelling, IPv6 by RFC 5952. */
+export function formatPrefix({family, high, low, bits}: Prefix): string {
+	if (family === 4) {
+		return `${high >>> 24}.${(high >>> 16) & 255}.${(high >>> 8) & 255}.${high & 255}/${bits}`;
+	}
+
+	const parts = [high >>> 16, high & 0xFF_FF, low >>> 16, low & 0xFF_FF, 0, 0, 0, 0];
+	return `${new ipaddr.IPv6(parts).toRFC5952String()}/${bits}`;
+}
+
 /** Clears all but the first `bits` bits of a 32-bit word. */
 export function maskWord(word: number, bits: number): number {
 	if (bits <= 0) {
--- a/packages/routing/src/table.ts
+++ b/packages/blocks/src/table.ts
@@ -62,6 +62,19 @@
 		return true;
 	}
 
+	/** Whether any prefix has a value. */
+	holds(value: number): boolean {
+		return this.#value.includes(value);
+	}
+
+	* entries(): Iterable<readonly [high: number, low: number, value: number]> {
+		for (const [cell, value] of this.#value.entries()) {
+			if (value !== NO_VALUE) {
+				yield [this.#high[cell] ?? 0, this.#low?.[cell] ?? 0, value];
+			}
+		}
+	}
+
 	/** Makes room for `count` prefixes at once. */
 	reserve(count: number): void {
 		let capacity = this.#value.length;
--- a/packages/daemon/src/control/agreement.ts
+++ b/packages/daemon/src/control/agreement.ts
@@ -1,6 +1,7 @@
 import {
-	AgreementState, EMPTY_AGREEMENT, applyPatch, checkAgreement, type Agreement, type Change, type Patch,
+	AgreementState, EMPTY_AGREEMENT, applyChanges, applyPatch, checkAgreement, type Agreement, type BlockChange, type Change, type Patch,
 } from '@apricotwood/agreement';
+import {BlockTable, parsePrefix} from '@apricotwood/blocks';
 import type {Clock} from '@apricotwood/clock';
 import {
 	type ObjectStore, type Row, type RowWrite, type Table,
@@ -59,6 +60,7 @@
  */
 export class AgreementBook {
 	#state = new AgreementState(0, EMPTY_AGREEMENT);
+	#blocks = new BlockTable();
 	readonly #records = new Map<number, VersionRecord>();
 
 	constructor(private readonly options: BookOptions) {}
@@ -67,6 +69,16 @@
 		return this.#state;
 	}
 
+	/** The client blocks of the version in force; changed in place, one cell for each changed block. */
+	get blocks(): BlockTable {
+		return this.#blocks;
+	}
+
+	/** The whole agreement in force, client blocks included. */
+	get document(): Agreement {
+		return {...this.#state.agreement, blocks: [...this.#blocks.entries()]};
+	}
+
 	/** Accepted versions after `version` that this host still remembers, oldest first. */
 	recordsSince(version: number): VersionRecord[] {
 		const records: VersionRecord[] = [];
@@ -99,7 +111,9 @@
 
 		const {version, agreement} = JSON.parse(body) as Snapshot;
 		if (version > this.#state.version) {
-			this.#state = new AgreementState(version, checkAgreement(agreement));
+			const {blocks, ...core} = checkAgreement(agreement);
+			this.#blocks = buildBlocks(blocks);
+			this.#state = new AgreementState(version, core);
 		}
 
 		return tableVersion;
@@ -122,8 +136,9 @@
 
 		this.#records.set(record.version, record);
 		for (let next = this.#records.get(this.#state.version + 1); next; next = this.#records.get(this.#state.version + 1)) {
-			const agreement = applyPatch(this.#state.agreement, {id: next.patchId, against: next.version - 1, changes: [...next.changes]});
-			this.#state = new AgreementState(next.version, agreement);
+			const {core, blocks} = applyChanges(this.#state.agreement, next.changes);
+			this.#state = new AgreementState(next.version, core);
+			changeBlocks(this.#blocks, blocks);
 			this.options.onVersion(this.#state, next);
 		}
 	}
@@ -146,7 +161,7 @@
 			return this.#refuseStale(patch.against);
 		}
 
-		applyPatch(agreement, patch);
+		applyPatch(agreement, this.#blocks, patch);
 		const record: VersionRecord = {
 			version: version + 1, patchId: patch.id, operator, acceptedAtMs: this.options.clock.now(), changes: patch.changes,
 		};
@@ -155,13 +170,13 @@
 
 	/** Writes a snapshot when enough versions have passed; a failure only makes a later start read more. */
 	async snapshotIfDue(tableVersion: number): Promise<boolean> {
-		const {version, agreement} = this.#state;
+		const {version} = this.#state;
 		if (version === 0 || version % SNAPSHOT_EVERY !== 0) {
 			return false;
 		}
 
 		const object = `agreement/${version}`;
-		const snapshot: Snapshot = {version, agreement};
+		const snapshot: Snapshot = {version, agreement: this.document};
 		await this.options.objects.put(object, JSON.stringify(snapshot));
 		const row: SnapshotRow = {object, tableVersion};
 		await this.options.table.commit([{key: SNAPSHOT_KEY, value: row, expected: undefined}]);
@@ -235,3 +250,25 @@
 function versionKey(version: number): string {
 	return VERSION_PREFIX + String(version).padStart(12, '0');
 }
+
+function buildBlocks(blocks: Agreement['blocks']): BlockTable {
+	const table = new BlockTable();
+	for (const {prefix, site} of blocks) {
+		const parsed = parsePrefix(prefix);
+		if (parsed.ok) {
+			table.set(parsed.prefix, site);
+		}
+	}
+
+	return table;
+}
+
+function changeBlocks(table: BlockTable, changes: readonly BlockChange[]): void {
+	for (const {prefix, site} of changes) {
+		if (site === undefined) {
+			table.delete(prefix);
+		} else {
+			table.set(prefix, site);
+		}
+	}
+}
--- a/packages/daemon/src/host/host.ts
+++ b/packages/daemon/src/host/host.ts
@@ -17,7 +17,6 @@
 import {LedgerAgent, SHARE_PREFIX} from '../control/ledger.js';
 import {HOST_PREFIX, Membership} from '../control/membership.js';
 import {Directory} from '../lookup/directory.js';
-import {buildBlocks, changeBlocks} from '../lookup/blocks.js';
 import {Lookup} from '../lookup/lookup.js';
 import {PeerAuth} from '../peer/auth.js';
 import {PeerClient} from '../peer/client.js';
@@ -83,7 +82,6 @@
 	readonly #holdings: Holdings;
 	readonly #server: Server;
 	readonly #drainRequested = new AbortController();
-	#blocks;
 	#digestSeq = 0;
 	#lastDemand: Record<string, number> = {};
 	#lastLeaseMs = Number.NEGATIVE_INFINITY;
@@ -118,7 +116,6 @@
 				this.#onVersion(state, record);
 			},
 		});
-		this.#blocks = buildBlocks(this.#book.state);
 		this.#membership = new Membership({clock, self: this.#identity, ...control});
 		this.#ledger = new LedgerAgent({
 			table, holdings: this.#holdings, membership: this.#membership, self: this.#identity, onChange: (key, before, after, reason) => {
@@ -160,7 +157,7 @@
 		});
 		this.#stalls = new StallWatch(clock, request.stallMs);
 		const lookup = new Lookup({
-			clock, log, metrics, directory: this.#directory, membership: this.#membership, signer, state: () => this.#book.state, blocks: () => this.#blocks, ...settings.lookup,
+			clock, log, metrics, directory: this.#directory, membership: this.#membership, signer, state: () => this.#book.state, blocks: () => this.#book.blocks, ...settings.lookup,
 		});
 		this.#dispatcher = this.#createDispatcher(auth, signer);
 		this.#server = createHostServer({
@@ -259,7 +256,7 @@
 			life: this.life,
 			fence: this.#fence,
 			intake: new Intake({
-				clock, auth, blocks: () => this.#blocks, state: () => this.#book.state,
+				clock, auth, blocks: () => this.#book.blocks, state: () => this.#book.state,
 			}),
 			gate: new OnceGate({
 				clock, memory, signer, claims: new ClaimBook(claimStore), hostId: settings.id, incarnation: this.#identity.incarnation,
@@ -344,7 +341,7 @@
 			try {
 				const after = await this.#book.loadSnapshot(); // eslint-disable-line no-await-in-loop
 				if (this.#book.state.version > 0) {
-					this.#onState(this.#book.state);
+					this.#applyState(this.#book.state);
 				}
 
 				// eslint-disable-next-line no-await-in-loop
@@ -416,18 +413,12 @@
 	}
 
 	#onVersion(state: AgreementState, record: VersionRecord): void {
-		changeBlocks(this.#blocks, record.changes);
 		this.#applyState(state);
 		this.deps.log.info({
 			event: 'version-in-force', version: state.version, patch: record.patchId, operator: record.operator,
 		});
 	}
 
-	#onState(state: AgreementState): void {
-		this.#blocks = buildBlocks(state);
-		this.#applyState(state);
-	}
-
 	#applyState(state: AgreementState): void {
 		this.#admission.apply(state);
 		this.#pacings.apply(state.agreement.priority);
--- a/packages/daemon/src/lookup/lookup.ts
+++ b/packages/daemon/src/lookup/lookup.ts
@@ -1,10 +1,11 @@
 import {
-	Priority, Repeat, parseAddress, type AgreementState, type Member,
+	Priority, Repeat, type AgreementState, type Member,
 } from '@apricotwood/agreement';
+import {mixHashes, parseAddress, type BlockTable} from '@apricotwood/blocks';
 import type {Clock} from '@apricotwood/clock';
 import type {TicketSigner} from '@apricotwood/once';
 import {
-	chooseRegion, mixHashes, rankHosts, type BlockTable, type RankedHost, type RegionChoice,
+	chooseRegion, rankHosts, type RankedHost, type RegionChoice,
 } from '@apricotwood/routing';
 import type {Log, Metrics} from '@apricotwood/telemetry';
 import type {Membership} from '../control/membership.js';
--- a/packages/daemon/src/request/intake.ts
+++ b/packages/daemon/src/request/intake.ts
@@ -2,11 +2,11 @@
 import {createHash, timingSafeEqual} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	parseAddress, type AgreementState, type Member,
+	type AgreementState, type Member,
 } from '@apricotwood/agreement';
+import {parseAddress, type BlockTable} from '@apricotwood/blocks';
 import type {Clock} from '@apricotwood/clock';
 import {formatFindings} from '@apricotwood/findings';
-import type {BlockTable} from '@apricotwood/routing';
 import type {PeerAuth} from '../peer/auth.js';
 import type {ForwardNote} from '../peer/forward.js';
 import {Code, refuse, type Refusal} from './codes.js';
--- a/packages/daemon/src/server/operator.ts
+++ b/packages/daemon/src/server/operator.ts
@@ -54,8 +54,8 @@
 	}
 
 	agreement(): unknown {
-		const {version, agreement} = this.options.book.state;
-		return {version, agreement};
+		const {book} = this.options;
+		return {version: book.state.version, agreement: book.document};
 	}
 
 	history(after: string | undefined): unknown {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,5 +1,4 @@
-export {BlockTable, type BlockMatch} from './blocks.js';
-export {hashText, mixHashes, toUnit} from './hash.js';
+export {hashText, toUnit} from './hash.js';
 export {
 	ageOf, blendByAge, weighByAge, type Figure,
 } from './figure.js';
--- a/packages/routing/src/steering.ts
+++ b/packages/routing/src/steering.ts
@@ -1,5 +1,6 @@
 import {type AgreementState, type Shift} from '@apricotwood/agreement';
-import {mixHashes, toUnit} from './hash.js';
+import {mixHashes} from '@apricotwood/blocks';
+import {toUnit} from './hash.js';
 import {rampPart} from './ramp.js';
 
 /** An entry host that a look-up may name. */
--- a/xo.config.js
+++ b/xo.config.js
@@ -33,7 +33,7 @@
 	},
 	{
 		// Addresses and hashes are words of bits.
-		files: ['packages/routing/src/{hash,table}.ts', 'packages/agreement/src/prefix.ts', 'packages/daemon/src/request/headers.ts'],
+		files: ['packages/blocks/src/*.ts', 'packages/daemon/src/request/headers.ts'],
 		rules: {
 			'no-bitwise': 'off',
 		},
@@ -45,6 +45,8 @@
 			'@typescript-eslint/no-floating-promises': 'off',
 			'no-await-in-loop': 'off',
 			'unicorn/no-await-expression-member': 'off',
+			// Tests of a table share the rig that stands around them.
+			'no-loop-func': 'off',
 		},
 	},
 ];
