--- a/packages/bench/src/load.ts
+++ b/packages/bench/src/load.ts
@@ -71,7 +71,9 @@
 	for (let index = 0; index < total;) {
 		const dueCount = Math.min(total, Math.floor((performance.now() - startMs) * rate / 1000));
 		for (; index < dueCount; index++) {
-			const one: Promise<void> = send(startMs + (index * 1000 / rate)).finally(() => pending.delete(one));
+			const one: Promise<void> = send(startMs + (index * 1000 / rate)).finally(() => {
+				pending.delete(one);
+			});
 			pending.add(one);
 		}
 
--- a/packages/daemon/src/host/host.ts
+++ b/packages/daemon/src/host/host.ts
@@ -153,7 +153,16 @@
 			hasPeers: () => this.#membership.hasPeers,
 		});
 		this.#gossip = new Gossip({
-			clock, random, log, hostId: settings.id, zone: settings.zone, intervalMs: control.gossipIntervalMs, membership: this.#membership, book: this.#book, client: this.#peerClient, digest: () => this.#digest(),
+			clock,
+			random,
+			log,
+			hostId: settings.id,
+			zone: settings.zone,
+			intervalMs: control.gossipIntervalMs,
+			membership: this.#membership,
+			book: this.#book,
+			client: this.#peerClient,
+			digest: () => this.#digest(),
 		});
 		this.#stalls = new StallWatch(clock, request.stallMs);
 		const lookup = new Lookup({
@@ -167,7 +176,14 @@
 			auth,
 			router: createPeerRouter(this.#gossip),
 			operator: new OperatorApi({
-				operators: settings.operators, book: this.#book, membership: this.#membership, ledger: this.#ledger, lookup, log, push: async record => this.#gossip.push(record), own: () => this.#own(),
+				operators: settings.operators,
+				book: this.#book,
+				membership: this.#membership,
+				ledger: this.#ledger,
+				lookup,
+				log,
+				push: async record => this.#gossip.push(record),
+				own: () => this.#own(),
 			}),
 		});
 		this.#subscribe();
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -54,7 +54,7 @@
 		overwrite: {
 			mask: args => args,
 			toLogObj: args => args[0] as LogFields,
-			addMeta: (logObject, _id, levelName) => ({fields: logObject, levelName}) as never,
+			addMeta: (logObject, _id, levelName) => wrapLine(logObject, levelName),
 			transportJSON(logObject) {
 				const {fields: own, levelName} = logObject as {fields: LogFields; levelName: string};
 				sink.write(`{"at":${clock.now()},"level":"${levelName}"${tail},${JSON.stringify(own).slice(1)}`);
@@ -63,6 +63,12 @@
 	});
 }
 
+/** What tslog hands from `addMeta` to the transport; its own types expect the fields and the meta in one object. */
+function wrapLine(fields: LogFields, levelName: string): never {
+	const line: unknown = {fields, levelName};
+	return line as never;
+}
+
 function createPrettyLog({level, sink, fields}: LogOptions): Log {
 	return new Logger<LogFields>({
 		type: 'pretty',
