--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -3,9 +3,11 @@
 import {summarise, type Experiment, type Summary} from './experiment.js';
 import {blocks} from './blocks.js';
 import {lookups} from './lookups.js';
+import {quiet, spread} from './hosts.js';
 import {proxy, uploads} from './proxy.js';
+import {service} from './service.js';
 
-const EXPERIMENTS: readonly Experiment[] = [blocks, lookups, proxy, uploads];
+const EXPERIMENTS: readonly Experiment[] = [blocks, lookups, proxy, uploads, spread, service, quiet];
 
 const {values, positionals} = parseArgs({allowPositionals: true, options: {json: {type: 'boolean'}, repeat: {type: 'string', default: '3'}}});
 const unknown = positionals.filter(name => !EXPERIMENTS.some(experiment => experiment.name === name));
--- /dev/null
+++ b/packages/bench/src/service.ts
@@ -0,0 +1,182 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {Agent, request} from 'undici';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {Cluster} from '@apricotwood/demo';
+import {FRASER_REACH, HOOGHLY_OARS, type Deployment} from '@apricotwood/standin';
+import {TargetKind, type Experiment, type Figure} from './experiment.js';
+
+const SEED = 20_261_204;
+const SERVICE_MS = 100;
+const OFFERED_PART = 0.95;
+const WARM_UP_MS = 8000;
+const DURATION_MS = 12_000;
+const MAX_WAIT_MS = 500;
+const HOSTS = 10;
+
+type Arrival = {readonly atMs: number; readonly region: number; readonly address: string};
+
+/** Poisson arrivals over all regions, at a part of what the regions' slots can do. */
+function drawArrivals(deployment: Deployment, slots: number, durationMs: number): Arrival[] {
+	const generator = xoroshiro128plus(SEED);
+	const perMs = slots / SERVICE_MS * OFFERED_PART;
+	const arrivals: Arrival[] = [];
+	for (let atMs = 0; atMs < durationMs;) {
+		atMs += -Math.log(1 - uniformFloat64(generator)) / perMs;
+		const zone = Math.floor(uniformFloat64(generator) * deployment.regions.length * 2);
+		arrivals.push({atMs, region: Math.floor(zone / 2), address: `127.${zone + 1}.${Math.floor(uniformFloat64(generator) * 250)}.${1 + Math.floor(uniformFloat64(generator) * 250)}`});
+	}
+
+	return arrivals;
+}
+
+/** One counter a region that sees everything: a request waits until a slot is free, at most `MAX_WAIT_MS`. */
+function serveNaively(arrivals: readonly Arrival[], regions: number, slotsPerRegion: number): number {
+	const freeAt = Array.from({length: regions}, () => Array.from({length: slotsPerRegion}, () => 0));
+	let served = 0;
+	for (const {atMs, region} of arrivals) {
+		const slots = freeAt[region]!;
+		const earliest = Math.min(...slots);
+		if (earliest - atMs <= MAX_WAIT_MS) {
+			slots[slots.indexOf(earliest)] = Math.max(earliest, atMs) + SERVICE_MS;
+			served++;
+		}
+	}
+
+	return served;
+}
+
+type Lookup = {readonly hosts: ReadonlyArray<{address: string; port: number}>; readonly ttlMs: number};
+
+/** A caller's side: look-ups kept for their time to live, then one request to the first host. */
+class Callers {
+	readonly #agent = new Agent({connections: 64, pipelining: 1});
+	readonly #answers = new Map<string, {lookup: Lookup; untilMs: number}>();
+	readonly latencies: number[] = [];
+	served = 0;
+	refused = 0;
+
+	constructor(private readonly cluster: Cluster, private readonly service: string, private readonly member: string) {}
+
+	async send({address}: Arrival): Promise<void> {
+		const startMs = performance.now();
+		const {hosts: [host]} = await this.#lookUp(address);
+		const res = await request(`http://127.0.0.1:${host?.port}/s/${this.service}/x`, {dispatcher: this.#agent, headers: {'apricotwood-member': this.member}});
+		await res.body.dump();
+		if (res.headers['apricotwood-outcome'] === 'answered') {
+			this.served++;
+			this.latencies.push(performance.now() - startMs);
+		} else {
+			this.refused++;
+		}
+	}
+
+	reset(): void {
+		this.latencies.length = 0;
+		this.served = 0;
+		this.refused = 0;
+	}
+
+	async close(): Promise<void> {
+		await this.#agent.destroy();
+	}
+
+	async #lookUp(address: string): Promise<Lookup> {
+		const known = this.#answers.get(address);
+		if (known && known.untilMs > performance.now()) {
+			return known.lookup;
+		}
+
+		const lookup = await this.cluster.get<Lookup>(`/v1/lookup?service=${this.service}&member=${this.member}&addr=${address}`, this.cluster.hosts[this.#answers.size % this.cluster.hosts.length]);
+		this.#answers.set(address, {lookup, untilMs: performance.now() + lookup.ttlMs});
+		return lookup;
+	}
+}
+
+async function play(callers: Callers, arrivals: readonly Arrival[]): Promise<void> {
+	const startMs = performance.now();
+	const pending: Array<Promise<void>> = [];
+	for (const arrival of arrivals) {
+		const waitMs = startMs + arrival.atMs - performance.now();
+		if (waitMs > 1) {
+			await delay(waitMs); // eslint-disable-line no-await-in-loop
+		}
+
+		pending.push(callers.send(arrival));
+	}
+
+	await Promise.all(pending);
+}
+
+function percentile(values: readonly number[], part: number): number {
+	return values.toSorted((a, b) => a - b)[Math.floor(values.length * part)] ?? 0;
+}
+
+async function measure(deployment: Deployment): Promise<Figure[]> {
+	const cluster = await Cluster.start({deployment, hosts: HOSTS, serviceMs: SERVICE_MS});
+	const [service] = deployment.services;
+	const slots = service!.workers * service!.slots;
+	const callers = new Callers(cluster, service!.name, deployment.members[0]!);
+	try {
+		await play(callers, drawArrivals(deployment, slots * 0.8, WARM_UP_MS));
+		callers.reset();
+		for (const worker of cluster.workers.values()) {
+			worker.peak = 0;
+		}
+
+		const arrivals = drawArrivals(deployment, slots, DURATION_MS);
+		await play(callers, arrivals);
+		const naive = serveNaively(arrivals, deployment.regions.length, slots / deployment.regions.length);
+		let over = 0;
+		for (const [name, worker] of cluster.workers) {
+			over += name.startsWith(service!.name) && worker.peak > service!.slots ? 1 : 0;
+		}
+
+		const who = deployment.name;
+		return [
+			{
+				name: `${who}: served at 95%`, unit: 'requests', value: callers.served, baseline: naive, target: {kind: TargetKind.AtLeast, bound: 0.97, isRatio: true},
+			},
+			{name: `${who}: refused`, unit: 'requests', value: callers.refused, baseline: arrivals.length - naive},
+			{
+				name: `${who}: workers above their slots`, unit: 'workers', value: over, target: {kind: TargetKind.AtMost, bound: 0},
+			},
+			{name: `${who}: p50 of those served`, unit: 'ms', value: percentile(callers.latencies, 0.5)},
+			{name: `${who}: p99 of those served`, unit: 'ms', value: percentile(callers.latencies, 0.99)},
+			...await measureDrain(cluster, callers, deployment, slots),
+		];
+	} finally {
+		await callers.close();
+		await cluster.stop();
+	}
+}
+
+/** Drains a worker under half load; its last new work after the sign, and what was cut. */
+async function measureDrain(cluster: Cluster, callers: Callers, deployment: Deployment, slots: number): Promise<Figure[]> {
+	const name = `${deployment.services[0]!.name}-1`;
+	const worker = cluster.workers.get(name)!;
+	const cancelledBefore = worker.cancelled;
+	const playing = play(callers, drawArrivals(deployment, slots / 2, 6000));
+	await delay(2000);
+	const {version} = await cluster.get<{version: number}>('/v1/agreement/status');
+	const signAtMs = performance.now();
+	await cluster.post('/v1/agreement/patches', {id: 'drain', against: version, changes: [{kind: 'set', section: 'drains', item: {kind: 'worker', name}}]});
+	await playing;
+	const lastMs = worker.lastStartMs - signAtMs;
+	return [
+		{
+			name: `${deployment.name}: last new work after a drain`, unit: 'ms', value: Math.max(0, lastMs), target: {kind: TargetKind.AtMost, bound: 2000},
+		},
+		{
+			name: `${deployment.name}: cut by the drain`, unit: 'requests', value: worker.cancelled - cancelledBefore, target: {kind: TargetKind.AtMost, bound: 0},
+		},
+	];
+}
+
+export const service: Experiment = {
+	name: 'service',
+	about: `10 host processes, seeded arrivals (${SEED}) at 95% of the slots, against one counter a region that sees everything; then a drain`,
+	async run(): Promise<readonly Figure[]> {
+		return [...await measure(FRASER_REACH), ...await measure(HOOGHLY_OARS)];
+	},
+};
--- /dev/null
+++ b/packages/demo/src/index.ts
@@ -0,0 +1,1 @@
+export {Cluster, type ClusterOptions, type HostProcess} from './cluster.js';
--- a/packages/standin/src/worker.ts
+++ b/packages/standin/src/worker.ts
@@ -65,6 +65,8 @@
 	isReporting = true;
 	/** Most requests that ran at one time. */
 	peak = 0;
+	/** Monotonic ms at which the last request started. */
+	lastStartMs = 0;
 	/** Requests whose caller cancelled them while they ran. */
 	cancelled = 0;
 	#running = 0;
@@ -133,6 +135,7 @@
 
 	#run(req: IncomingMessage, res: ServerResponse, behaviour: Behaviour): void {
 		this.#running++;
+		this.lastStartMs = this.options.clock.monotonic();
 		this.peak = Math.max(this.peak, this.#running);
 		let bytes = 0;
 		let timer: Timer | undefined;
