perf(hosts): requests go where room is, and a host without units shows its demand

Causes, from the decision lines of 10 host processes at 95% load: - a host refused whole seconds of requests for want of a member's units (1,846 of 2,406 refusals on one host): refused requests ended at once, so the host showed no demand and got no units. Refused requests now count for as long as they would have run. - each host queued for its own units while others had some: gossip told only of free units, one second old. Digests now carry backlogs, answers to requests passed on carry the peer's room, and each request passed on is counted against it at once. - hedges took room at full load; they now need 30% free. - demand followed every lull; it now falls slowly.

--- a/packages/bench/src/process.ts
+++ b/packages/bench/src/process.ts
@@ -19,7 +19,7 @@
 	const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
 	const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
 	const io = readFileSync(`/proc/${pid}/io`, 'utf8');
-	const bytes = (name: string) => Number(new RegExp(`^${name}: (\\d+)`, 'm').exec(io)?.[1] ?? 0);
+	const bytes = (name: string) => Number(new RegExp(String.raw`^${name}: (\d+)`, 'm').exec(io)?.[1] ?? 0);
 	return {
 		atMs: performance.now(),
 		cpuMs: (Number(fields[11]) + Number(fields[12])) * 1000 / TICKS_PER_SECOND,
--- a/packages/daemon/src/control/demand.ts
+++ b/packages/daemon/src/control/demand.ts
@@ -1,4 +1,7 @@
-const SMOOTHING = 0.5;
+/** Demand that rises is followed fast, so that units come soon. */
+const RISE = 0.5;
+/** Demand that falls is followed slowly, so that a lull sends no units away. */
+const FALL = 0.1;
 /** Published figures are rounded to a power of this, so that small changes write nothing. */
 const QUANTUM = 1.25;
 
@@ -30,7 +33,7 @@
 	sample(): Record<string, number> {
 		const demand: Record<string, number> = {};
 		for (const [group, gauge] of this.#gauges) {
-			gauge.smoothed += SMOOTHING * (gauge.peak - gauge.smoothed);
+			gauge.smoothed += (gauge.peak > gauge.smoothed ? RISE : FALL) * (gauge.peak - gauge.smoothed);
 			gauge.peak = gauge.current;
 			if (gauge.smoothed < 0.5) {
 				if (gauge.current === 0) {
--- a/packages/daemon/src/control/digest.ts
+++ b/packages/daemon/src/control/digest.ts
@@ -10,7 +10,7 @@
 	phase: z.enum(HostPhase),
 	/** Version of the agreement in force on the host. */
 	version: z.number().int(),
-	/** Worker units that are free and not waited for, by service. */
+	/** Worker units that are free, less the requests that wait for one, by service; negative for a backlog. */
 	free: z.record(z.string(), z.number()),
 	/** Keys of the resources of which the host holds more than a lowered limit leaves it. */
 	pending: z.array(z.string()),
--- a/packages/daemon/src/host/host.ts
+++ b/packages/daemon/src/host/host.ts
@@ -460,7 +460,7 @@
 	#digest(): HostDigest {
 		const free: Record<string, number> = {};
 		for (const service of this.#book.state.services.keys()) {
-			free[service] = Math.max(0, this.#workers.freeOf(service) - this.#admission.queueOf(service).length);
+			free[service] = this.#admission.roomOf(service);
 		}
 
 		return {
--- a/packages/daemon/src/lookup/directory.ts
+++ b/packages/daemon/src/lookup/directory.ts
@@ -17,6 +17,10 @@
 /** Without a fresh figure a host's units count as half free. */
 const ASSUMED_FREE_PART = 0.5;
 const MAX_ALTERNATIVES = 3;
+/** A peer's room is trusted for passing requests on until this age, ms. */
+const MAX_ROOM_AGE_MS = 5000;
+/** Without free units anywhere, a peer is chosen only if its backlog is shorter than ours by this. */
+const BACKLOG_MARGIN = 2;
 
 export type DirectoryOptions = {
 	readonly clock: Clock;
@@ -34,6 +38,7 @@
 export class Directory implements PeerChoice {
 	readonly #hosts = new Map<string, readonly EntryHost[]>();
 	readonly #weights = new Map<string, number>();
+	readonly #reports = new Map<string, {room: number; atMs: number}>();
 	readonly #memberHosts = new Map<string, readonly EntryHost[]>();
 
 	constructor(private readonly options: DirectoryOptions) {}
@@ -76,26 +81,51 @@
 		return view?.lease.incarnation === incarnation ? view.lease : undefined;
 	}
 
-	withRoom(region: string, service: string, caps: readonly Cap[], member: string): PeerAddress | undefined {
+	withRoom(region: string, service: string, caps: readonly Cap[], member: string, ownRoom: number): PeerAddress | undefined {
 		let best: EntryHost | undefined;
-		let bestFree = 0;
+		let bestRoom = Math.min(0, ownRoom + BACKLOG_MARGIN);
 		for (const host of this.of(region, service)) {
 			if (host.id === this.options.self.id || !caps.every(cap => this.#holdsMember(host.id, member, cap))) {
 				continue;
 			}
 
-			const view = this.options.membership.get(host.id);
-			const free = view?.digest?.free[service] ?? 0;
-			const isFresh = view !== undefined && this.options.clock.monotonic() - view.digestAtMs < MAX_FIGURE_AGE_MS;
-			if (isFresh && free > bestFree) {
+			const room = this.#roomOf(host.id, service);
+			if (room !== undefined && room > bestRoom) {
 				best = host;
-				bestFree = free;
+				bestRoom = room;
 			}
 		}
 
 		return best;
 	}
 
+	/** Takes what a peer says of its room in the answer to a request passed on. */
+	recordRoom(host: string, service: string, room: number): void {
+		this.#reports.set(`${host}/${service}`, {room, atMs: this.options.clock.monotonic()});
+	}
+
+	/** Counts a request passed on against what the peer last reported, until it reports again. */
+	recordForward(host: string, service: string): void {
+		const room = this.#roomOf(host, service);
+		if (room !== undefined) {
+			this.recordRoom(host, service, room - 1);
+		}
+	}
+
+	/** A peer's room by its newest report, from its digest or from an answer. */
+	#roomOf(host: string, service: string): number | undefined {
+		const view = this.options.membership.get(host);
+		const report = this.#reports.get(`${host}/${service}`);
+		const digestAtMs = view?.digest ? view.digestAtMs : Number.NEGATIVE_INFINITY;
+		const isReportNewer = report !== undefined && report.atMs >= digestAtMs;
+		const atMs = isReportNewer ? report.atMs : digestAtMs;
+		if (this.options.clock.monotonic() - atMs > MAX_ROOM_AGE_MS) {
+			return undefined;
+		}
+
+		return isReportNewer ? report.room : view?.digest?.free[service];
+	}
+
 	alternatives(service: string): readonly Alternative[] {
 		const hosts = this.of(this.options.self.region, service).filter(host => host.id !== this.options.self.id);
 		return hosts.slice(0, MAX_ALTERNATIVES).map(({address, port}) => ({address, port}));
@@ -149,7 +179,7 @@
 			return this.options.ownFree(service);
 		}
 
-		const figure: Figure | undefined = reported === undefined ? undefined : {value: reported, atMs};
+		const figure: Figure | undefined = reported === undefined ? undefined : {value: Math.max(0, reported), atMs};
 		return blendByAge(figure, held * ASSUMED_FREE_PART, this.options.clock.monotonic(), MAX_FIGURE_AGE_MS);
 	}
 
--- a/packages/daemon/src/peer/client.ts
+++ b/packages/daemon/src/peer/client.ts
@@ -1,5 +1,5 @@
 import {createTRPCClient, httpLink, type TRPCClient} from '@trpc/client';
-import {Agent, fetch as undiciFetch} from 'undici';
+import {Agent, request, type Dispatcher} from 'undici';
 import type {VersionRecord} from '../control/agreement.js';
 import type {HostDigest} from '../control/digest.js';
 import type {PeerAuth} from './auth.js';
@@ -14,6 +14,13 @@
 const TIMEOUT_MS = 1000;
 const KEEP_ALIVE_MS = 30_000;
 
+/** The part of an answer that tRPC's client reads. */
+type PeerAnswer = {
+	readonly ok: boolean;
+	readonly status: number;
+	readonly json: () => Promise<unknown>;
+};
+
 /** Calls to other hosts. Each throws when the peer gives no answer in time. */
 export class PeerClient {
 	readonly #clients = new Map<string, TRPCClient<PeerRouter>>();
@@ -39,6 +46,14 @@
 		await this.#agent.destroy();
 	}
 
+	/** As `fetch`, but without the headers that browsers send: they were half of each message. */
+	async #fetch(url: string, {method, headers, body}: {method?: string; headers?: unknown; body?: unknown}): Promise<PeerAnswer> {
+		const res = await request(url, {
+			method: (method ?? 'GET'), headers: headers as Record<string, string>, body: body as string | undefined, dispatcher: this.#agent,
+		});
+		return {ok: res.statusCode < 300, status: res.statusCode, json: async () => res.body.json()};
+	}
+
 	#clientOf(peer: PeerAddress): TRPCClient<PeerRouter> {
 		const origin = originOf(peer);
 		let client = this.#clients.get(origin);
@@ -47,7 +62,7 @@
 				links: [httpLink({
 					url: origin + PEER_PATH,
 					headers: () => ({[PEER_HEADER]: this.auth.sign(this.hostId)}),
-					fetch: async (url, options) => undiciFetch(url as string, {...(options as object), dispatcher: this.#agent}) as never,
+					fetch: async (url, options) => this.#fetch(String(url), options ?? {}) as never,
 				})],
 			});
 			this.#clients.set(origin, client);
--- a/packages/daemon/src/peer/forward.ts
+++ b/packages/daemon/src/peer/forward.ts
@@ -29,6 +29,8 @@
 	readonly reachedPeer: boolean;
 	/** What to tell the caller where the peer's answer was not passed on. */
 	readonly refusal: Refusal | undefined;
+	/** What the peer said of its room. */
+	readonly peerRoom: number | undefined;
 };
 
 /** Where a peer listens. */
@@ -98,6 +100,7 @@
 class Hop implements AttemptListener {
 	#attempt: Attempt | undefined;
 	#deadline: Timer | undefined;
+	#peerRoom: number | undefined;
 	#resolve: (result: ForwardResult) => void = () => {};
 
 	constructor(private readonly ctx: RequestContext, private readonly options: ForwarderOptions) {}
@@ -128,8 +131,10 @@
 	}
 
 	onHead(_attempt: Attempt, head: AnswerHead): void {
+		const room = Number(head.parsed[HeaderName.Room]);
+		this.#peerRoom = Number.isFinite(room) ? room : undefined;
 		if (!this.ctx.res.destroyed) {
-			this.ctx.res.writeHead(head.status, head.headers);
+			this.ctx.res.writeHead(head.status, withoutHeader(head.headers, HeaderName.Room));
 		}
 	}
 
@@ -147,7 +152,7 @@
 
 	onEnd(): void {
 		this.ctx.res.end();
-		this.#finish({reachedPeer: true, refusal: undefined});
+		this.#finish({reachedPeer: true, refusal: undefined, peerRoom: this.#peerRoom});
 	}
 
 	onFail(attempt: Attempt, {code, message, hadAnswer}: AttemptFailure): void {
@@ -156,7 +161,7 @@
 		}
 
 		const refusal = attempt.wasSent ? doubt(code, code === Code.UpstreamLate ? 504 : 502, message) : refuse(code, 503, message, 100);
-		this.#finish({reachedPeer: attempt.wasSent, refusal});
+		this.#finish({reachedPeer: attempt.wasSent, refusal, peerRoom: this.#peerRoom});
 	}
 
 	#headers(leftMs: number, body: Buffer | IncomingMessage | undefined): string[] {
@@ -184,3 +189,15 @@
 		this.#resolve(result);
 	}
 }
+
+/** Names and values in turn, without one name. */
+function withoutHeader(headers: readonly string[], name: HeaderName): string[] {
+	const kept: string[] = [];
+	for (let index = 0; index < headers.length; index += 2) {
+		if (headers[index]?.toLowerCase() !== name) {
+			kept.push(headers[index] ?? '', headers[index + 1] ?? '');
+		}
+	}
+
+	return kept;
+}
--- a/packages/daemon/src/request/admission.ts
+++ b/packages/daemon/src/request/admission.ts
@@ -25,6 +25,9 @@
 
 export type PlaceResult = {readonly ok: true; readonly placement: Placement} | {readonly ok: false; readonly blockedBy: string};
 
+/** Part of the granted units that must be free for a hedge. */
+const HEDGE_HEADROOM = 0.3;
+
 /** No worker of the service has a free unit here. */
 export const NO_WORKER = 'worker';
 
@@ -151,6 +154,23 @@
 		return result === WaitResult.Admitted ? last : {ok: false, blockedBy: NO_WORKER};
 	}
 
+	/** Free units less waiting requests of a service; negative for a backlog. */
+	roomOf(service: string): number {
+		return this.options.workers.freeOf(service) - this.queueOf(service).length;
+	}
+
+	/** Whether so much is free that an extra attempt takes no room from another request. */
+	hasHeadroom(service: string): boolean {
+		let free = 0;
+		let granted = 0;
+		for (const link of this.options.workers.of(service)) {
+			free += link.free;
+			granted += link.holding.granted;
+		}
+
+		return this.queueOf(service).length === 0 && free >= granted * HEDGE_HEADROOM;
+	}
+
 	/** Gives room that came back to those who wait for it. */
 	pump(): void {
 		for (const queue of this.#queues.values()) {
--- a/packages/daemon/src/request/delivery.ts
+++ b/packages/daemon/src/request/delivery.ts
@@ -363,7 +363,8 @@
 	}
 
 	#launchHedge(afterMs: number): void {
-		if (this.#isOver || this.#winner !== undefined || this.#running.size !== 1 || !this.pacing.hedges.take()) {
+		const isNeeded = !this.#isOver && this.#winner === undefined && this.#running.size === 1;
+		if (!isNeeded || !this.deps.admission.hasHeadroom(this.ctx.service.name) || !this.pacing.hedges.take()) {
 			return;
 		}
 
--- a/packages/daemon/src/request/dispatcher.ts
+++ b/packages/daemon/src/request/dispatcher.ts
@@ -24,6 +24,7 @@
 } from './codes.js';
 import type {RequestContext} from './context.js';
 import {Delivery, type DeliveryResult, type ExtraAttempt} from './delivery.js';
+import {HeaderName} from './headers.js';
 import type {Intake} from './intake.js';
 import {OnceStep, type OnceGate, type OnceRun} from './once.js';
 import type {Pacings} from './pacing.js';
@@ -34,11 +35,18 @@
 	/** The host of an incarnation, while it can be reached. */
 	find(host: string, incarnation: string): PeerAddress | undefined;
 	/** A host of a region that likely has room for a member's request of a service. */
-	withRoom(region: string, service: string, caps: RequestContext['caps'], member: string): PeerAddress | undefined;
+	withRoom(region: string, service: string, caps: RequestContext['caps'], member: string, ownRoom: number): PeerAddress | undefined;
+	/** Notes a request that was passed on. */
+	recordForward(host: string, service: string): void;
+	/** Notes what a peer said of its room. */
+	recordRoom(host: string, service: string, room: number): void;
 	/** Hosts that a refused caller may try. */
 	alternatives(service: string): readonly Alternative[];
 }
 
+/** How long a request would have run, while nothing has been measured, ms. */
+const ASSUMED_LATENCY_MS = 100;
+
 export type DispatcherDeps = {
 	readonly clock: Clock;
 	readonly log: Log;
@@ -87,6 +95,11 @@
 			return;
 		}
 
+		if (intake.ctx.isForwarded) {
+			const room = this.deps.admission.roomOf(intake.ctx.service.name);
+			res.setHeader(HeaderName.Room, room);
+		}
+
 		this.#inFlight++;
 		const groups = demandGroups(intake.ctx);
 		for (const group of groups) {
@@ -100,9 +113,27 @@
 			this.#reply(res, doubt(Code.Internal, 500, 'an unexpected error; whether the request ran is not known'), intake.ctx);
 		} finally {
 			this.#inFlight--;
+			this.#endDemand(groups, intake.ctx);
+		}
+	}
+
+	/**
+	 * Ends a request's part in the demand. One that was refused for want of room
+	 * counts for as long as it would have run: else a host without units would
+	 * show no demand, and never get any.
+	 */
+	#endDemand(groups: readonly string[], {res, service}: RequestContext): void {
+		const end = () => {
 			for (const group of groups) {
 				this.deps.demand.end(group);
 			}
+		};
+
+		const wasRefused = res.statusCode === 429 || res.statusCode === 503;
+		if (wasRefused) {
+			this.deps.clock.after(this.deps.pacings.of(service.name).latency.value() ?? ASSUMED_LATENCY_MS, end);
+		} else {
+			end();
 		}
 	}
 
@@ -396,7 +427,7 @@
 		const {peers, region} = this.deps;
 		const isStrange = blockedBy === (Code.NoShift as string);
 		const target = isStrange ? ctx.home ?? region : region;
-		const peer = peers.withRoom(target, ctx.service.name, ctx.caps, ctx.member.name) ?? this.#acrossShift(ctx, blockedBy);
+		const peer = peers.withRoom(target, ctx.service.name, ctx.caps, ctx.member.name, isStrange ? Number.NEGATIVE_INFINITY : this.deps.admission.roomOf(ctx.service.name)) ?? this.#acrossShift(ctx, blockedBy);
 		if (!peer) {
 			return false;
 		}
@@ -420,7 +451,7 @@
 		}
 
 		for (const shift of ctx.state.shiftsFrom(ctx.home ?? this.deps.region, ctx.service.name)) {
-			const peer = this.deps.peers.withRoom(shift.to, ctx.service.name, ctx.caps, ctx.member.name);
+			const peer = this.deps.peers.withRoom(shift.to, ctx.service.name, ctx.caps, ctx.member.name, 0);
 			if (peer) {
 				return peer;
 			}
@@ -434,10 +465,15 @@
 			event: 'forward', reqId: ctx.logId, service: ctx.service.name, member: ctx.member.name, peer: peer.id, reason,
 		});
 		this.deps.metrics.count('forwards');
+		this.deps.peers.recordForward(peer.id, ctx.service.name);
 		const result = await this.deps.forwarder.forward(ctx, peer, body, cancel => {
 			cancellation.onCancel = cancel;
 		});
 		cancellation.onCancel = undefined;
+		if (result.peerRoom !== undefined) {
+			this.deps.peers.recordRoom(peer.id, ctx.service.name, result.peerRoom);
+		}
+
 		return result;
 	}
 
--- a/packages/daemon/src/request/headers.ts
+++ b/packages/daemon/src/request/headers.ts
@@ -17,6 +17,8 @@
 	Load = 'apricotwood-load',
 	/** `1` in an answer of a worker that leaves. */
 	Draining = 'apricotwood-draining',
+	/** Free units less waiting requests of the host that a request was passed on to. */
+	Room = 'apricotwood-room',
 	/** What one host tells another of a request that it passes on. */
 	Forward = 'apricotwood-forward',
 }
