--- a/packages/bench/src/scale.ts
+++ b/packages/bench/src/scale.ts
@@ -52,10 +52,16 @@
 	const changes = [{kind: ChangeKind.Set as const, section: Section.Members, item: {name: 'm0', caps: [{service: '*', concurrent: 999}]}}];
 	const blocks = new BlockTable();
 	return [
-		{name: `accept a patch, ${workers} workers`, unit: 'ms', value: timeOf(() => applyPatch(core, blocks, {id: 'p', against: 1, changes}))},
-		{name: `put a version in force, ${workers} workers`, unit: 'ms', value: timeOf(() => {
-			listResources(new AgreementState(2, applyChanges(core, changes).core));
-		})},
+		{
+			name: `accept a patch, ${workers} workers`, unit: 'ms', value: timeOf(() => {
+				applyPatch(core, blocks, {id: 'p', against: 1, changes});
+			}),
+		},
+		{
+			name: `put a version in force, ${workers} workers`, unit: 'ms', value: timeOf(() => {
+				listResources(new AgreementState(2, applyChanges(core, changes).core));
+			}),
+		},
 	];
 }
 
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -1,3 +1,4 @@
+import {inspect} from 'node:util';
 import {Logger} from 'tslog';
 import type {Clock} from '@apricotwood/clock';
 import type {LineSink} from './sink.js';
@@ -77,7 +78,7 @@
 		prettyLogTemplate: `{{yyyy}}-{{mm}}-{{dd}} {{hh}}:{{MM}}:{{ss}}.{{ms}} {{logLevelName}} ${Object.values(fields).join(' ')} `,
 		overwrite: {
 			transportFormatted(meta, args) {
-				sink.write(`${meta}${args.join(' ')}`);
+				sink.write(meta + args.map(arg => typeof arg === 'string' ? arg : inspect(arg, {breakLength: Infinity})).join(' '));
 			},
 		},
 	});
--- /dev/null
+++ b/test/admission/decisions.test.ts
@@ -0,0 +1,220 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {
+	AdaptiveLimit, AttemptBudget, QuantileEstimate, WaitQueue, WaitResult, WorkerEvent, WorkerLifecycle, WorkerPhase,
+} from '@apricotwood/admission';
+import {FakeClock} from '@apricotwood/clock';
+import {
+	LatencyPolicy, HeadroomPolicy, chooseWorker, rampPart, rankHosts, stepWeight, weighByAge, type EntryHost, type WorkerView,
+} from '@apricotwood/routing';
+
+const SEED = 20_261_204;
+
+test(`an adaptive limit is never above the grant and never without a unit of one (seed ${SEED})`, () => {
+	fc.assert(fc.property(fc.array(fc.tuple(fc.nat(2000), fc.nat(500), fc.boolean()), {maxLength: 100}), fc.nat(20), (steps, granted) => {
+		const limit = new AdaptiveLimit(0);
+		let nowMs = 0;
+		for (const [gapMs, latencyMs, isShed] of steps) {
+			nowMs += gapMs;
+			if (isShed) {
+				limit.recordShed(nowMs);
+			} else {
+				limit.recordAnswer(latencyMs, nowMs);
+			}
+
+			const usable = limit.usable(granted, nowMs);
+			assert.ok(usable <= granted && usable >= Math.min(1, granted));
+		}
+	}), {seed: SEED, numRuns: 300});
+});
+
+test('sheds halve a limit, good answers bring it back, and a joining worker ramps up', () => {
+	const limit = new AdaptiveLimit(0, {rampMs: 1000});
+	assert.equal(limit.usable(10, 0), 1);
+	assert.equal(limit.usable(10, 500), 5);
+	assert.equal(limit.usable(10, 1000), 10);
+	limit.recordShed(1000);
+	limit.recordShed(1001);
+	assert.equal(limit.usable(10, 1001), 5);
+	for (let answer = 0; answer < 30; answer++) {
+		limit.recordAnswer(10, 2000 + answer);
+	}
+
+	assert.equal(limit.usable(10, 3000), 10);
+});
+
+test('a worker that turns slow gets fewer of its units', () => {
+	const limit = new AdaptiveLimit(-10_000);
+	for (let answer = 0; answer < 50; answer++) {
+		limit.recordAnswer(20, answer * 100);
+	}
+
+	for (let answer = 0; answer < 30; answer++) {
+		limit.recordAnswer(400, 10_000 + (answer * 300));
+	}
+
+	assert.ok(limit.usable(10, 30_000) < 5);
+});
+
+test('extra attempts stay a fixed part of the requests', () => {
+	const budget = new AttemptBudget({ratio: 0.1, burst: 2});
+	let extra = 0;
+	for (let request = 0; request < 1000; request++) {
+		budget.recordRequest();
+		extra += budget.take() ? 1 : 0;
+	}
+
+	assert.ok(extra <= 102 && extra >= 95, String(extra));
+});
+
+test('a running quantile comes near the true one', () => {
+	const estimate = new QuantileEstimate(0.95);
+	for (let sample = 0; sample < 20_000; sample++) {
+		estimate.record((sample * 7919) % 1000);
+	}
+
+	const value = estimate.value() ?? 0;
+	assert.ok(value > 850 && value < 1000, String(value));
+});
+
+/** A queue that sees everything: first come first served, each until its limit. */
+function admitNaively(arrivals: ReadonlyArray<{atMs: number; leftMs: number}>, serviceMs: number, maxWaitMs: number): number {
+	let freeAtMs = 0;
+	let admitted = 0;
+	for (const {atMs, leftMs} of arrivals) {
+		const startMs = Math.max(atMs, freeAtMs);
+		if (startMs - atMs < Math.min(leftMs, maxWaitMs) || startMs === atMs) {
+			freeAtMs = startMs + serviceMs;
+			admitted++;
+		}
+	}
+
+	return admitted;
+}
+
+test(`the queue admits first come first served, and each request is settled once, in time (seed ${SEED})`, async () => {
+	await fc.assert(fc.asyncProperty(fc.array(fc.tuple(fc.nat(30), fc.integer({min: 1, max: 300})), {minLength: 1, maxLength: 40}), async steps => {
+		const clock = new FakeClock(0);
+		const serviceMs = 10;
+		const queue = new WaitQueue({clock, maxLength: 1000, maxWaitMs: 100});
+		let isFree = true;
+		const order: number[] = [];
+		const results: WaitResult[] = [];
+		const take = (index: number) => {
+			if (!isFree) {
+				return false;
+			}
+
+			isFree = false;
+			order.push(index);
+			clock.after(serviceMs, () => {
+				isFree = true;
+				queue.pump();
+			});
+			return true;
+		};
+
+		const arrivals: Array<{atMs: number; leftMs: number}> = [];
+		for (const [index, [gapMs, leftMs]] of steps.entries()) {
+			await clock.advanceAsync(gapMs, 1);
+			arrivals.push({atMs: clock.now(), leftMs});
+			if (queue.length === 0 && take(index)) {
+				results.push(WaitResult.Admitted);
+				continue;
+			}
+
+			void queue.wait(leftMs, () => take(index)).then(result => {
+				results.push(result);
+			});
+		}
+
+		await clock.advanceAsync(500, 1);
+		assert.equal(results.length, steps.length);
+		assert.deepEqual(order, order.toSorted((a, b) => a - b));
+		const admitted = results.filter(result => result === WaitResult.Admitted).length;
+		const refused = results.filter(result => result === WaitResult.Refused).length;
+		// The early refusal may turn away who would just have made it; nobody is admitted whom the naive queue would not.
+		assert.ok(admitted <= admitNaively(arrivals, serviceMs, 100) + refused);
+		assert.ok(admitted >= 1);
+	}), {seed: SEED, numRuns: 60});
+});
+
+test('the queue refuses at once beyond its length, and lets a caller leave', async () => {
+	const clock = new FakeClock();
+	const queue = new WaitQueue({clock, maxLength: 1, maxWaitMs: 100});
+	const leaving = new AbortController();
+	const first = queue.wait(1000, () => false, leaving.signal);
+	assert.equal(await queue.wait(1000, () => false), WaitResult.Refused);
+	leaving.abort();
+	assert.equal(await first, WaitResult.Cancelled);
+	const second = queue.wait(50, () => false);
+	clock.advance(50);
+	assert.equal(await second, WaitResult.Expired);
+	assert.equal(queue.length, 0);
+});
+
+function viewOf(name: string, change: Partial<WorkerView> = {}): WorkerView {
+	return {
+		name, zone: 'z1', free: 2, usable: 4, latency: undefined, load: undefined, ...change,
+	};
+}
+
+const NOW = 1_000_000;
+
+test('figures fade with age and count as absent past it or from the future', () => {
+	const figure = {value: 1, atMs: NOW};
+	assert.equal(weighByAge(figure, NOW, 1000), 1);
+	assert.equal(weighByAge(figure, NOW + 500, 1000), 0.5);
+	assert.equal(weighByAge(figure, NOW + 5000, 1000), 0);
+	assert.equal(weighByAge(figure, NOW - 60_000, 1000), 0);
+	assert.equal(weighByAge(figure, NOW - 1000, 1000), 1);
+});
+
+test('latency first takes the fast near worker, headroom first the empty one', () => {
+	const fast = viewOf('fast', {latency: {value: 5, atMs: NOW}, free: 1});
+	const empty = viewOf('empty', {latency: {value: 30, atMs: NOW}, free: 4});
+	assert.equal(chooseWorker(new LatencyPolicy(), [empty, fast], 'z1', NOW)?.name, 'fast');
+	assert.equal(chooseWorker(new HeadroomPolicy(), [fast, empty], 'z1', NOW)?.name, 'empty');
+	assert.equal(chooseWorker(new LatencyPolicy(), [viewOf('full', {free: 0})], 'z1', NOW), undefined);
+});
+
+test('a worker without a measured latency is tried', () => {
+	const measured = viewOf('measured', {latency: {value: 2, atMs: NOW}});
+	assert.equal(chooseWorker(new LatencyPolicy(), [measured, viewOf('new')], 'z1', NOW)?.name, 'new');
+});
+
+test('over many callers each host comes first as often as its weight says', () => {
+	const hosts: EntryHost[] = [0.6, 0.3, 0.1].map((weight, index) => ({
+		id: `h${index}`, address: '', port: 0, zone: 'z', region: 'r', hash: Math.imul(index, 0x9E_37_79_B1) >>> 0, weight, // eslint-disable-line no-bitwise
+	}));
+	const firsts = new Map<string, number>();
+	const callers = 20_000;
+	for (let caller = 0; caller < callers; caller++) {
+		const [first] = rankHosts(hosts, Math.imul(caller, 0x85_EB_CA_6B) >>> 0, undefined, 3); // eslint-disable-line no-bitwise
+		firsts.set(first!.host.id, (firsts.get(first!.host.id) ?? 0) + 1);
+	}
+
+	for (const {id, weight} of hosts) {
+		const part = (firsts.get(id) ?? 0) / callers;
+		assert.ok(Math.abs(part - weight) < 5 * Math.sqrt(weight * (1 - weight) / callers), `${id}: ${part}`);
+	}
+});
+
+test('weights move by bounded steps and ignore small changes; a shift grows over its ramp', () => {
+	assert.equal(stepWeight(0, 1), 0.25);
+	assert.equal(stepWeight(1, 0), 0.75);
+	assert.equal(stepWeight(0.5, 0.55), 0.5);
+	assert.deepEqual([0, 50, 100, 900].map(nowMs => rampPart(0, 100, nowMs)), [0, 0.5, 1, 1]);
+});
+
+test('a worker\'s life allows only what fits: suspect, back, leaving, gone, back again', () => {
+	const life = new WorkerLifecycle();
+	const phases = [WorkerEvent.Ready, WorkerEvent.Idle, WorkerEvent.Fail, WorkerEvent.Ready, WorkerEvent.Recover, WorkerEvent.Leave, WorkerEvent.Fail, WorkerEvent.Idle, WorkerEvent.Return].map(event => {
+		life.send(event);
+		return life.phase;
+	});
+	assert.deepEqual(phases, [
+		WorkerPhase.Serving, WorkerPhase.Serving, WorkerPhase.Suspect, WorkerPhase.Suspect, WorkerPhase.Joining, WorkerPhase.Leaving, WorkerPhase.Leaving, WorkerPhase.Gone, WorkerPhase.Joining,
+	]);
+});
--- /dev/null
+++ b/test/platform/contract.test.ts
@@ -0,0 +1,136 @@
+import assert from 'node:assert/strict';
+import {after, before, describe, test} from 'node:test';
+import {FakeClock, SystemClock} from '@apricotwood/clock';
+import {
+	BreakerState, HttpPlatform, ListedState, PlatformError, PlatformGuard, createMemoryPlatform, Breaker, type Platform,
+} from '@apricotwood/platform';
+import {FaultyPlatform, PlatformServer} from '@apricotwood/standin';
+
+type Subject = {
+	readonly platform: Platform;
+	readonly list: (address: string, state: ListedState | undefined) => void;
+	readonly stop: () => Promise<void>;
+};
+
+const SUBJECTS: ReadonlyArray<readonly [string, () => Promise<Subject>]> = [
+	['in memory', async () => {
+		const platform = createMemoryPlatform();
+		return {
+			platform, list(address, state) {
+				platform.hosts.set(address, state);
+			}, async stop() {},
+		};
+	}],
+	['over HTTP', async () => {
+		const faulty = new FaultyPlatform(new SystemClock());
+		const server = new PlatformServer(faulty);
+		await server.start();
+		const platform = new HttpPlatform(`http://127.0.0.1:${server.port}`);
+		return {
+			platform, list(address, state) {
+				faulty.memory.hosts.set(address, state);
+			}, async stop() {
+				await platform.close();
+				await server.stop();
+			},
+		};
+	}],
+];
+
+for (const [name, create] of SUBJECTS) {
+	describe(`the platform ${name}`, () => {
+		let subject: Subject;
+		before(async () => {
+			subject = await create();
+		});
+		after(async () => {
+			await subject.stop();
+		});
+
+		test('a row is written and read with the version of its commit', async () => {
+			const {table} = subject.platform;
+			const result = await table.commit([{key: 'a/1', value: {n: 1}, expected: 0}]);
+			assert.ok(result.ok);
+			assert.deepEqual(await table.read('a/1'), {key: 'a/1', value: {n: 1}, version: result.version});
+			assert.equal(await table.read('a/none'), undefined);
+		});
+
+		test('a commit writes all of its rows or none, and names those in the way', async () => {
+			const {table} = subject.platform;
+			await table.commit([{key: 'b/1', value: 1, expected: undefined}]);
+			const refused = await table.commit([{key: 'b/2', value: 2, expected: 0}, {key: 'b/1', value: 2, expected: 0}]);
+			assert.deepEqual(refused, {ok: false, conflicts: ['b/1']});
+			assert.equal(await table.read('b/2'), undefined);
+		});
+
+		test('a scan gives the changes since a version in order, removals included, and misses none', async () => {
+			const {table} = subject.platform;
+			const {upTo} = await table.scan('c/', 0);
+			await table.commit([{key: 'c/1', value: 1, expected: 0}]);
+			await table.commit([{key: 'c/2', value: 2, expected: 0}, {key: 'other', value: 0, expected: undefined}]);
+			await table.commit([{key: 'c/1', value: undefined, expected: undefined}]);
+			const scan = await table.scan('c/', upTo);
+			assert.deepEqual(scan.rows.map(({key, value}) => [key, value]), [['c/2', 2], ['c/1', undefined]]);
+			assert.deepEqual((await table.scan('c/', scan.upTo)).rows, []);
+			const again = await table.commit([{key: 'c/1', value: 3, expected: 0}]);
+			assert.ok(again.ok);
+		});
+
+		test('objects are kept whole and replaced whole', async () => {
+			const {objects} = subject.platform;
+			await objects.put('o', 'first');
+			await objects.put('o', 'second ✓');
+			assert.equal(await objects.get('o'), 'second ✓');
+			assert.equal(await objects.get('none'), undefined);
+		});
+
+		test('the list of hosts says who leaves', async () => {
+			subject.list('192.0.2.1:80', ListedState.Leaving);
+			assert.deepEqual(await subject.platform.hosts.list(), [{address: '192.0.2.1:80', state: ListedState.Leaving}]);
+			subject.list('192.0.2.1:80', undefined);
+			assert.deepEqual(await subject.platform.hosts.list(), []);
+		});
+	});
+}
+
+test('a platform over HTTP that does not answer is an error of its own', async () => {
+	const platform = new HttpPlatform('http://127.0.0.1:1');
+	await assert.rejects(async () => platform.table.read('x'), PlatformError);
+	await platform.close();
+});
+
+test('the breaker lets nothing through while the platform is away, and one call to see whether it is back', () => {
+	const clock = new FakeClock();
+	const breaker = new Breaker(clock, {next: () => 0.5});
+	for (let failure = 0; failure < 3; failure++) {
+		assert.equal(breaker.admit(), true);
+		breaker.recordFailure();
+	}
+
+	assert.equal(breaker.admit(), false);
+	clock.advance(250);
+	assert.deepEqual([breaker.admit(), breaker.admit()], [true, false]);
+	breaker.recordFailure();
+	clock.advance(250);
+	assert.equal(breaker.admit(), false);
+	clock.advance(250);
+	assert.equal(breaker.admit(), true);
+	breaker.recordSuccess();
+	assert.equal(breaker.state, BreakerState.Closed);
+});
+
+test('a host keeps to its budget of calls, and a call without a reply ends at its deadline', async () => {
+	const clock = new FakeClock();
+	const faulty = new FaultyPlatform(clock);
+	const guard = new PlatformGuard(faulty, {
+		clock, random: {next: () => 0.5}, readsPerSecond: 2, deadlineMs: 100,
+	});
+	const results = await Promise.allSettled(Array.from({length: 8}, async () => guard.table.read('x')));
+	assert.equal(results.filter(result => result.status === 'fulfilled').length, 6);
+	assert.equal(faulty.reads, 6);
+	clock.advance(1000);
+	faulty.faults.delayMs = 10_000;
+	const late = assert.rejects(async () => guard.table.read('x'), /no reply in 100 ms/);
+	clock.advance(100);
+	await late;
+});
