--- a/packages/daemon/src/request/delivery.ts
+++ b/packages/daemon/src/request/delivery.ts
@@ -38,6 +38,8 @@
 	readonly admission: Admission;
 	readonly hostId: string;
 	readonly maxStoredBytes: number;
+	/** Called when a worker says that it did not run a request. */
+	readonly onShed: () => void;
 	/** Called for each attempt after the first. */
 	readonly onExtraAttempt: (ctx: RequestContext, kind: ExtraAttempt, placement: Placement, cause: string) => void;
 };
@@ -93,8 +95,8 @@
 	#bodyIsSpent = false;
 	#isOver = false;
 	readonly #ended = new Cancellation();
-	#deadline: Timer | undefined;
-	#hedge: Timer | undefined;
+	/** The hedge's timer, then the deadline's. */
+	#timer: Timer | undefined;
 	#resolve: (result: DeliveryResult) => void = () => {};
 
 	/** @param isKept whether the answer is kept for repeats; then the run goes on without its caller. */
@@ -113,9 +115,8 @@
 		this.pacing.hedges.recordRequest();
 		return new Promise(resolve => {
 			this.#resolve = resolve;
-			this.#armDeadline();
 			this.#launch(first);
-			this.#armHedge();
+			this.#arm();
 		});
 	}
 
@@ -150,6 +151,7 @@
 		readWorkerSigns(running.placement.link, head.parsed, this.deps.clock.now());
 		if (isShed(head)) {
 			running.placement.link.recordShed();
+			this.deps.onShed();
 			this.#settleFailure(attempt, {
 				code: Code.UpstreamShed, mayHaveRun: false, hadAnswer: false, message: 'the worker shed the request',
 			});
@@ -202,7 +204,6 @@
 	#accept(attempt: Attempt, {placement}: Running, head: AnswerHead): void {
 		this.#winner = attempt;
 		this.#winnerLink = placement.link;
-		this.#hedge?.cancel();
 		for (const other of this.#running.keys()) {
 			if (other !== attempt) {
 				this.#cancel(other);
@@ -345,20 +346,28 @@
 		return this.ctx.deadlineAtMs - this.deps.clock.monotonic();
 	}
 
-	#armDeadline(): void {
-		this.#deadline = this.deps.clock.after(Math.max(0, this.#leftMs), () => {
-			this.#giveUp(Code.UpstreamLate, 'the deadline passed before the whole answer');
-		});
-	}
+	/** One timer serves the hedge first, where there may be one, and the deadline after it. */
+	#arm(): void {
+		if (this.#isOver) {
+			return;
+		}
 
-	#armHedge(): void {
-		const afterMs = this.ctx.repeat === Repeat.Idempotent && !this.#bodyIsStreaming ? this.pacing.hedgeAfterMs : undefined;
-		if (afterMs === undefined || this.#isOver) {
+		const leftMs = Math.max(0, this.#leftMs);
+		const hedgeMs = this.ctx.repeat === Repeat.Idempotent && !this.#bodyIsStreaming ? this.pacing.hedgeAfterMs : undefined;
+		if (hedgeMs === undefined || hedgeMs >= leftMs) {
+			this.#armDeadline();
 			return;
 		}
 
-		this.#hedge = this.deps.clock.after(afterMs, () => {
-			this.#launchHedge(afterMs);
+		this.#timer = this.deps.clock.after(hedgeMs, () => {
+			this.#launchHedge(hedgeMs);
+			this.#armDeadline();
+		});
+	}
+
+	#armDeadline(): void {
+		this.#timer = this.deps.clock.after(Math.max(0, this.#leftMs), () => {
+			this.#giveUp(Code.UpstreamLate, 'the deadline passed before the whole answer');
 		});
 	}
 
@@ -458,8 +467,7 @@
 
 		this.#isOver = true;
 		this.#ended.cancel();
-		this.#deadline?.cancel();
-		this.#hedge?.cancel();
+		this.#timer?.cancel();
 		const isWhole = outcome === Outcome.Answered && this.isKept && this.#keptBytes <= this.deps.maxStoredBytes;
 		this.#resolve({
 			outcome,
--- a/packages/daemon/src/request/dispatcher.ts
+++ b/packages/daemon/src/request/dispatcher.ts
@@ -349,6 +349,9 @@
 			admission: this.deps.admission,
 			hostId: this.deps.hostId,
 			maxStoredBytes: this.deps.maxBufferedBytes,
+			onShed: () => {
+				this.deps.metrics.count('sheds');
+			},
 			onExtraAttempt: (extraCtx, kind, extra, cause) => {
 				this.#noteExtraAttempt(extraCtx, kind, extra, cause);
 			},
@@ -518,11 +521,15 @@
 	}
 }
 
+/** Groups of demand, by the caps of a member and service in one version. */
+const groupsByCaps = new WeakMap<RequestContext['caps'], readonly string[]>();
+
 /** The groups of demand that a request counts for. */
-function demandGroups({service, member, caps}: RequestContext): string[] {
-	const groups = [WHOLE_DEMAND, serviceDemand(service.name)];
-	for (const cap of caps) {
-		groups.push(memberDemand(member.name, cap.service));
+function demandGroups({service, member, caps}: RequestContext): readonly string[] {
+	let groups = groupsByCaps.get(caps);
+	if (!groups) {
+		groups = [WHOLE_DEMAND, serviceDemand(service.name), ...caps.map(cap => memberDemand(member.name, cap.service))];
+		groupsByCaps.set(caps, groups);
 	}
 
 	return groups;
--- a/packages/daemon/src/upstream/attempt.ts
+++ b/packages/daemon/src/upstream/attempt.ts
@@ -3,7 +3,7 @@
 import {errors, type Dispatcher} from 'undici';
 import {AttemptEvent, AttemptLifecycle, AttemptPhase} from '../request/phase.js';
 import {Code} from '../request/codes.js';
-import {HeaderName, isEndToEnd} from '../request/headers.js';
+import {HeaderName, isEndToEnd, readConnectionOptions} from '../request/headers.js';
 
 /** What one attempt sends. */
 export type AttemptRequest = {
@@ -110,7 +110,7 @@
 		this.#wasSent = true;
 	}
 
-	onResponseStart(controller: Dispatcher.DispatchController, status: number, parsed: Record<string, string | string[]>): void {
+	onResponseStart(_controller: Dispatcher.DispatchController, status: number, parsed: Record<string, string | string[]>): void {
 		if (status < 200) {
 			return;
 		}
@@ -127,7 +127,7 @@
 		}
 
 		if (this.#life.send(AttemptEvent.Answer)) {
-			this.listener.onHead(this, {status, headers: this.#copyHeaders(controller, parsed), parsed});
+			this.listener.onHead(this, {status, headers: this.#copyHeaders(parsed), parsed});
 		}
 	}
 
@@ -168,17 +168,23 @@
 		return this.phase === AttemptPhase.Answering ? Code.UpstreamTruncated : Code.UpstreamReset;
 	}
 
-	#copyHeaders(controller: Dispatcher.DispatchController, parsed: Record<string, string | string[]>): string[] {
-		const raw = (controller.rawHeaders ?? []) as Array<Buffer | string>;
+	/** End-to-end headers of an answer; a worker's own `apricotwood-` headers stop here. */
+	#copyHeaders(parsed: Readonly<Record<string, string | string[]>>): string[] {
 		const headers: string[] = [];
-		const isCustom = parsed.connection !== undefined && parsed.connection !== 'keep-alive' && parsed.connection !== 'close';
-		const options = isCustom ? new Set(String(parsed.connection).toLowerCase().split(/\s*,\s*/)) : undefined;
-		for (let index = 0; index < raw.length; index += 2) {
-			const name = String(raw[index]);
-			const lower = name.toLowerCase();
-			const isOwn = !this.request.isPeer && lower.startsWith('apricotwood-');
-			if (!isOwn && isEndToEnd(lower, options)) {
-				headers.push(name, decodeLatin1(raw[index + 1]));
+		const options = readConnectionOptions(parsed['connection'] as string | undefined);
+		for (const [name, value] of Object.entries(parsed)) {
+			const isOwn = !this.request.isPeer && name.startsWith('apricotwood-');
+			if (isOwn || !isEndToEnd(name, options)) {
+				continue;
+			}
+
+			if (typeof value === 'string') {
+				headers.push(name, value);
+				continue;
+			}
+
+			for (const one of value) {
+				headers.push(name, one);
 			}
 		}
 
@@ -192,10 +198,6 @@
 		|| parsed['content-length'] !== undefined || parsed['transfer-encoding'] !== undefined;
 }
 
-function decodeLatin1(value: Buffer | string | undefined): string {
-	return typeof value === 'string' ? value : value?.toString('latin1') ?? '';
-}
-
 /** A caller's stream is iterated, so that a failed attempt does not destroy the caller's connection. */
 function toDispatchBody(body: AttemptRequest['body']): Buffer | AsyncIterable<Buffer> | null {
 	if (body === undefined) {
