--- a/packages/daemon/src/host/host.ts
+++ b/packages/daemon/src/host/host.ts
@@ -1,53 +1,16 @@
 import {randomBytes} from 'node:crypto';
-import type {Server} from 'node:http';
 import {DrainKind, type AgreementState} from '@apricotwood/agreement';
-import {
-	sleep, type Clock, type Random,
-} from '@apricotwood/clock';
-import {Holdings} from '@apricotwood/ledger';
-import {ClaimBook, RequestMemory, TicketSigner} from '@apricotwood/once';
-import {PlatformGuard, type Platform} from '@apricotwood/platform';
+import {sleep} from '@apricotwood/clock';
 import {Supervisor, type Child} from '@apricotwood/supervisor';
-import type {LineSink, Log, Metrics} from '@apricotwood/telemetry';
-import {AgreementBook, VERSION_PREFIX, type VersionRecord} from '../control/agreement.js';
-import {DemandTracker} from '../control/demand.js';
+import {VERSION_PREFIX, type VersionRecord} from '../control/agreement.js';
 import {type HostDigest} from '../control/digest.js';
-import {ControlFeed} from '../control/feed.js';
-import {Fence} from '../control/fence.js';
-import {LedgerAgent, SHARE_PREFIX} from '../control/ledger.js';
-import {HOST_PREFIX, Membership, RenewResult} from '../control/membership.js';
-import {Directory} from '../lookup/directory.js';
-import {Lookup} from '../lookup/lookup.js';
-import {PeerAuth} from '../peer/auth.js';
-import {PeerClient} from '../peer/client.js';
-import {Forwarder} from '../peer/forward.js';
-import {Gossip} from '../peer/gossip.js';
-import {createPeerRouter} from '../peer/router.js';
-import {Admission} from '../request/admission.js';
-import {Dispatcher} from '../request/dispatcher.js';
-import {Intake} from '../request/intake.js';
-import {OnceGate} from '../request/once.js';
-import {Pacings} from '../request/pacing.js';
-import {StallWatch} from '../request/stall.js';
-import {OperatorApi} from '../server/operator.js';
-import {createHostServer, listen} from '../server/server.js';
-import type {Settings} from '../settings/schema.js';
+import {SHARE_PREFIX} from '../control/ledger.js';
+import {HOST_PREFIX, RenewResult} from '../control/membership.js';
+import {listen} from '../server/server.js';
 import {Prober} from '../upstream/probe.js';
-import {Workers} from '../upstream/workers.js';
 import type {Identity} from './identity.js';
+import {assembleHost, type HostDeps, type HostParts} from './parts.js';
 import {HostEvent, HostLifecycle, HostPhase} from './phase.js';
-import {createClaimStore} from './claims.js';
-
-export type HostDeps = {
-	readonly settings: Settings;
-	readonly clusterKey: string;
-	readonly platform: Platform;
-	readonly clock: Clock;
-	readonly random: Random;
-	readonly log: Log;
-	readonly metrics: Metrics;
-	readonly sink: LineSink;
-};
 
 const REFRESH_MS = 250;
 const BEAT_MS = 250;
@@ -63,24 +26,7 @@
 export class Host {
 	readonly life: HostLifecycle;
 	readonly #identity: Identity;
-	readonly #guard: PlatformGuard;
-	readonly #feed: ControlFeed;
-	readonly #book: AgreementBook;
-	readonly #membership: Membership;
-	readonly #ledger: LedgerAgent;
-	readonly #workers: Workers;
-	readonly #admission: Admission;
-	readonly #pacings = new Pacings();
-	readonly #demand = new DemandTracker();
-	readonly #directory: Directory;
-	readonly #dispatcher: Dispatcher;
-	readonly #gossip: Gossip;
-	readonly #fence: Fence;
-	readonly #forwarder: Forwarder;
-	readonly #peerClient: PeerClient;
-	readonly #stalls: StallWatch;
-	readonly #holdings: Holdings;
-	readonly #server: Server;
+	readonly #parts: HostParts;
 	readonly #drainRequested = new AbortController();
 	#digestSeq = 0;
 	#lastDemand: Record<string, number> = {};
@@ -90,103 +36,25 @@
 	static async start(deps: HostDeps): Promise<Host> {
 		const host = new Host(deps);
 		const {address, port} = deps.settings.listen;
-		host.#setPort(await listen(host.#server, address, port));
+		host.#setPort(await listen(host.#parts.server, address, port));
 		return host;
 	}
 
 	private constructor(private readonly deps: HostDeps) {
-		const {settings, clock, random, log, metrics, clusterKey} = deps;
-		const {control, request} = settings;
+		const {settings, log} = deps;
 		this.#identity = {
 			id: settings.id, incarnation: randomBytes(6).toString('hex'), address: settings.listen.address, port: 0, zone: settings.zone, region: settings.region,
 		};
 		this.life = new HostLifecycle(phase => {
 			log.info({event: 'host-phase', phase});
 		});
-		this.#guard = new PlatformGuard(deps.platform, {clock, random, ...settings.platform});
-		const {table, objects} = this.#guard;
-		this.#holdings = new Holdings(clock);
-		this.#feed = new ControlFeed({
-			table, clock, random, intervalMs: control.scanIntervalMs, onFailure(error) {
-				log.warn({event: 'platform-silent', reason: error.message});
-			},
-		});
-		this.#book = new AgreementBook({
-			table, objects, clock, refresh: async () => this.#feed.refresh(), onVersion: (state, record) => {
+		this.#parts = assembleHost(deps, this.#identity, this.life, {
+			onVersion: (state, record) => {
 				this.#onVersion(state, record);
 			},
-		});
-		this.#membership = new Membership({clock, self: this.#identity, ...control});
-		this.#ledger = new LedgerAgent({
-			table, holdings: this.#holdings, membership: this.#membership, self: this.#identity, onChange: (key, before, after, reason) => {
-				log.info({
-					event: 'share', key, before, after, reason, version: this.#book.state.version,
-				});
-			},
-		});
-		this.#workers = new Workers({
-			clock, holdings: this.#holdings, region: settings.region, stallMs: request.stallMs, log, metrics,
-		});
-		this.#admission = new Admission({
-			clock, holdings: this.#holdings, workers: this.#workers, region: settings.region, zone: settings.zone, ...request,
-		});
-		const auth = new PeerAuth(clusterKey, clock);
-		const signer = new TicketSigner(clusterKey);
-		this.#forwarder = new Forwarder({
-			clock, auth, hostId: settings.id, stallMs: request.stallMs,
-		});
-		this.#peerClient = new PeerClient(auth, settings.id);
-		this.#directory = new Directory({
-			clock,
-			self: this.#identity,
-			membership: this.#membership,
-			ledger: this.#ledger,
-			state: () => this.#book.state,
-			ownFree: service => this.#workers.freeOf(service),
-			isOpen: () => this.life.phase === HostPhase.Ready,
-		});
-		this.#fence = new Fence({
-			clock,
-			isolationMs: control.isolationMs,
-			lastPlatformMs: () => this.#guard.lastAnswerMs,
-			lastPeerMs: () => this.#membership.lastPeerMs,
-			hasPeers: () => this.#membership.hasPeers,
-		});
-		this.#gossip = new Gossip({
-			clock,
-			random,
-			log,
-			hostId: settings.id,
-			zone: settings.zone,
-			intervalMs: control.gossipIntervalMs,
-			membership: this.#membership,
-			book: this.#book,
-			client: this.#peerClient,
 			digest: () => this.#digest(),
+			own: () => this.#own(),
 		});
-		this.#stalls = new StallWatch(clock, request.stallMs);
-		const lookup = new Lookup({
-			clock, log, metrics, directory: this.#directory, membership: this.#membership, signer, state: () => this.#book.state, blocks: () => this.#book.blocks, ...settings.lookup,
-		});
-		this.#dispatcher = this.#createDispatcher(auth, signer);
-		this.#server = createHostServer({
-			life: this.life,
-			lookup,
-			dispatcher: this.#dispatcher,
-			auth,
-			router: createPeerRouter(this.#gossip),
-			operator: new OperatorApi({
-				operators: settings.operators,
-				book: this.#book,
-				membership: this.#membership,
-				ledger: this.#ledger,
-				lookup,
-				log,
-				push: async record => this.#gossip.push(record),
-				own: () => this.#own(),
-			}),
-		});
-		this.#subscribe();
 	}
 
 	get port(): number {
@@ -203,19 +71,19 @@
 
 	/** Units in use by running requests; 0 when none runs. */
 	get unitsInUse(): number {
-		return this.#holdings.inUse;
+		return this.#parts.holdings.inUse;
 	}
 
 	/** Calls made to the platform so far. */
 	get platformCalls(): Readonly<{reads: number; writes: number; failures: number}> {
-		return this.#guard.counts;
+		return this.#parts.guard.counts;
 	}
 
 	/** Brings this host's view up to date at once, as its loops do in time. */
 	async tick(): Promise<void> {
-		await this.#feed.refresh();
-		await this.#ledger.adjust();
-		this.#directory.refresh();
+		await this.#parts.feed.refresh();
+		await this.#parts.ledger.adjust();
+		this.#parts.directory.refresh();
 	}
 
 	/**
@@ -259,56 +127,6 @@
 		});
 	}
 
-	#createDispatcher(auth: PeerAuth, signer: TicketSigner): Dispatcher {
-		const {settings, clock, log, metrics, sink} = this.deps;
-		const {request} = settings;
-		const {table} = this.#guard;
-		const memory = new RequestMemory({clock, maxRecords: request.maxRequestIds, maxBytes: request.maxAnswerBytes});
-		const claimStore = createClaimStore(table);
-		return new Dispatcher({
-			clock,
-			log,
-			metrics,
-			life: this.life,
-			fence: this.#fence,
-			intake: new Intake({
-				clock, auth, blocks: () => this.#book.blocks, state: () => this.#book.state,
-			}),
-			gate: new OnceGate({
-				clock, memory, signer, claims: new ClaimBook(claimStore), hostId: settings.id, incarnation: this.#identity.incarnation,
-			}),
-			memory,
-			admission: this.#admission,
-			pacings: this.#pacings,
-			forwarder: this.#forwarder,
-			peers: this.#directory,
-			demand: this.#demand,
-			stalls: this.#stalls,
-			hostId: settings.id,
-			region: settings.region,
-			maxBufferedBytes: request.maxBufferedBytes,
-			isLogFull: () => sink.isFull,
-			dropClaim(key) {
-				claimStore.drop(key).catch((error: unknown) => {
-					log.warn({event: 'claim-kept', key, reason: (error as Error).message});
-				});
-			},
-		});
-	}
-
-	#subscribe(): void {
-		this.#feed.subscribe(VERSION_PREFIX, rows => {
-			this.#book.applyRows(rows);
-		});
-		this.#feed.subscribe(HOST_PREFIX, rows => {
-			this.#membership.applyRows(rows);
-			this.#forwarder.retain(this.#membership.peers.map(view => view.lease));
-		});
-		this.#feed.subscribe(SHARE_PREFIX, rows => {
-			this.#ledger.applyRows(rows);
-		});
-	}
-
 	#children(): Child[] {
 		const {control, request, metrics} = this.deps.settings;
 		const {clock, random} = this.deps;
@@ -322,22 +140,22 @@
 			},
 		});
 		const prober = new Prober({
-			clock, random, workers: this.#workers, intervalMs: request.probeIntervalMs, path: request.probePath,
+			clock, random, workers: this.#parts.workers, intervalMs: request.probeIntervalMs, path: request.probePath,
 		});
 		return [
 			{name: 'feed', run: async signal => this.#runFeed(signal)},
-			{name: 'gossip', run: async signal => this.#gossip.run(signal)},
+			{name: 'gossip', run: async signal => this.#parts.gossip.run(signal)},
 			{name: 'prober', run: async signal => prober.run(signal)},
-			{name: 'stalls', run: async signal => this.#stalls.run(signal)},
+			{name: 'stalls', run: async signal => this.#parts.stalls.run(signal)},
 			every('ledger', control.ledgerIntervalMs, async () => this.#quietly('ledger', async () => this.#adjustShares())),
 			every('lease', control.ledgerIntervalMs, async () => this.#quietly('lease', async () => this.#renewLease())),
 			every('host-list', control.hostListIntervalMs, async () => this.#quietly('host-list', async () => this.#readHostList())),
 			every('snapshot', SNAPSHOT_CHECK_MS, async () => this.#quietly('snapshot', async () => {
-				await this.#book.snapshotIfDue(this.#feed.version);
+				await this.#parts.book.snapshotIfDue(this.#parts.feed.version);
 			})),
 			every('directory', REFRESH_MS, () => {
-				this.#directory.refresh();
-				this.#admission.pump();
+				this.#parts.directory.refresh();
+				this.#parts.admission.pump();
 			}),
 			every('beat', BEAT_MS, async () => this.#beat()),
 			every('metrics', metrics.intervalMs, () => {
@@ -348,20 +166,20 @@
 
 	async #runFeed(signal: AbortSignal): Promise<void> {
 		await this.#prime(signal);
-		await this.#feed.run(signal);
+		await this.#parts.feed.run(signal);
 	}
 
 	/** Reads what a start needs, waiting for the platform as long as it takes; peers may bring an agreement meanwhile. */
 	async #prime(signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			try {
-				const after = await this.#book.loadSnapshot(); // eslint-disable-line no-await-in-loop
-				if (this.#book.state.version > 0) {
-					this.#applyState(this.#book.state);
+				const after = await this.#parts.book.loadSnapshot(); // eslint-disable-line no-await-in-loop
+				if (this.#parts.book.state.version > 0) {
+					this.#applyState(this.#parts.book.state);
 				}
 
 				// eslint-disable-next-line no-await-in-loop
-				await this.#feed.prime([
+				await this.#parts.feed.prime([
 					{prefix: HOST_PREFIX, after: 0},
 					{prefix: SHARE_PREFIX, after: 0},
 					{prefix: VERSION_PREFIX, after},
@@ -388,17 +206,17 @@
 	}
 
 	async #adjustShares(): Promise<void> {
-		if (this.#book.state.version === 0 || this.#lastLeaseMs === Number.NEGATIVE_INFINITY) {
+		if (this.#parts.book.state.version === 0 || this.#lastLeaseMs === Number.NEGATIVE_INFINITY) {
 			return;
 		}
 
-		await this.#ledger.adjust();
-		this.#admission.pump();
+		await this.#parts.ledger.adjust();
+		this.#parts.admission.pump();
 	}
 
 	async #renewLease(): Promise<void> {
 		const {clock, settings} = this.deps;
-		const demand = this.#demand.sample();
+		const demand = this.#parts.demand.sample();
 		const isDue = clock.monotonic() - this.#lastLeaseMs >= settings.control.leaseIntervalMs;
 		if (!isDue && !hasMoved(this.#lastDemand, demand)) {
 			return;
@@ -410,30 +228,30 @@
 	}
 
 	async #writeLease(demand: Record<string, number>): Promise<void> {
-		const result = await this.#membership.renew(this.#guard.table, this.life.phase, demand);
+		const result = await this.#parts.membership.renew(this.#parts.guard.table, this.life.phase, demand);
 		if (result === RenewResult.Replaced) {
 			this.deps.log.error({event: 'replaced', reason: 'another process has registered with this host\'s id; this one starts no more work and stops'});
-			this.#fence.shut();
+			this.#parts.fence.shut();
 			this.#drainRequested.abort();
 		}
 	}
 
 	async #readHostList(): Promise<void> {
-		this.#membership.applyList(await this.#guard.hosts.list());
-		this.#workers.applyList(address => this.#membership.listedAs(address));
+		this.#parts.membership.applyList(await this.#parts.guard.hosts.list());
+		this.#parts.workers.applyList(address => this.#parts.membership.listedAs(address));
 	}
 
 	/** Notices a pause of the process and, after one, reads its entries again before work starts. */
 	async #beat(): Promise<void> {
-		this.#fence.beat();
-		if (!this.#fence.mustReread) {
+		this.#parts.fence.beat();
+		if (!this.#parts.fence.mustReread) {
 			return;
 		}
 
 		this.deps.log.warn({event: 'woke', reason: 'the process was paused; shares are read again before work starts'});
 		await this.#quietly('reread', async () => {
-			await this.#feed.refresh();
-			this.#fence.recordReread();
+			await this.#parts.feed.refresh();
+			this.#parts.fence.recordReread();
 		});
 	}
 
@@ -445,13 +263,13 @@
 	}
 
 	#applyState(state: AgreementState): void {
-		this.#admission.apply(state);
-		this.#pacings.apply(state.agreement.priority);
-		this.#ledger.applyAgreement(state);
-		this.#workers.apply(state);
+		this.#parts.admission.apply(state);
+		this.#parts.pacings.apply(state.agreement.priority);
+		this.#parts.ledger.applyAgreement(state);
+		this.#parts.workers.apply(state);
 		this.life.send(HostEvent.AgreementInForce);
-		this.#directory.refresh();
-		this.#admission.pump();
+		this.#parts.directory.refresh();
+		this.#parts.admission.pump();
 		if (state.isDrained(DrainKind.Host, this.id)) {
 			this.#drainRequested.abort();
 		}
@@ -459,33 +277,33 @@
 
 	#digest(): HostDigest {
 		const free: Record<string, number> = {};
-		for (const service of this.#book.state.services.keys()) {
-			free[service] = this.#admission.roomOf(service);
+		for (const service of this.#parts.book.state.services.keys()) {
+			free[service] = this.#parts.admission.roomOf(service);
 		}
 
 		return {
-			id: this.id, incarnation: this.#identity.incarnation, seq: this.#digestSeq++, phase: this.life.phase, version: this.#book.state.version, free, pending: this.#ledger.pending,
+			id: this.id, incarnation: this.#identity.incarnation, seq: this.#digestSeq++, phase: this.life.phase, version: this.#parts.book.state.version, free, pending: this.#parts.ledger.pending,
 		};
 	}
 
 	#own(): {id: string; phase: HostPhase; version: number; pending: readonly string[]} {
 		return {
-			id: this.id, phase: this.life.phase, version: this.#book.state.version, pending: this.#ledger.pending,
+			id: this.id, phase: this.life.phase, version: this.#parts.book.state.version, pending: this.#parts.ledger.pending,
 		};
 	}
 
 	#reportMetrics(): void {
 		const {metrics} = this.deps;
-		for (const service of this.#book.state.services.keys()) {
-			metrics.gauge(`headroom.${this.#identity.region}.${service}`, this.#workers.freeOf(service));
-			metrics.gauge(`queue.${service}`, this.#admission.queueOf(service).length);
+		for (const service of this.#parts.book.state.services.keys()) {
+			metrics.gauge(`headroom.${this.#identity.region}.${service}`, this.#parts.workers.freeOf(service));
+			metrics.gauge(`queue.${service}`, this.#parts.admission.queueOf(service).length);
 		}
 
-		metrics.gauge('in-flight', this.#dispatcher.inFlight);
-		metrics.gauge('agreement.version', this.#book.state.version);
-		metrics.gauge('platform.reads', this.#guard.counts.reads);
-		metrics.gauge('platform.writes', this.#guard.counts.writes);
-		metrics.gauge('platform.failures', this.#guard.counts.failures);
+		metrics.gauge('in-flight', this.#parts.dispatcher.inFlight);
+		metrics.gauge('agreement.version', this.#parts.book.state.version);
+		metrics.gauge('platform.reads', this.#parts.guard.counts.reads);
+		metrics.gauge('platform.writes', this.#parts.guard.counts.writes);
+		metrics.gauge('platform.failures', this.#parts.guard.counts.failures);
 		metrics.report();
 	}
 
@@ -493,14 +311,14 @@
 	async #drain(): Promise<void> {
 		const {clock, settings} = this.deps;
 		this.life.send(HostEvent.Drain);
-		this.#directory.refresh();
+		this.#parts.directory.refresh();
 		if (this.life.phase === HostPhase.Draining) {
 			await this.#quietly('lease', async () => this.#renewNow());
 			await sleep(clock, settings.lookup.ttlMs);
 			this.life.send(HostEvent.AnswersExpired);
 		}
 
-		while (this.#dispatcher.inFlight > 0) {
+		while (this.#parts.dispatcher.inFlight > 0) {
 			await sleep(clock, STOP_POLL_MS); // eslint-disable-line no-await-in-loop
 		}
 	}
@@ -512,12 +330,12 @@
 	/** Gives all shares back and says so. While the platform is silent they stay until there is evidence that this host is gone. */
 	async #leave(): Promise<void> {
 		const {clock, log} = this.deps;
-		this.#ledger.leave();
+		this.#parts.ledger.leave();
 		this.life.send(HostEvent.Idle);
-		for (let round = 0; round < LEAVE_ROUNDS && this.#ledger.holdsUnits; round++) {
+		for (let round = 0; round < LEAVE_ROUNDS && this.#parts.ledger.holdsUnits; round++) {
 			try {
-				await this.#ledger.adjust(); // eslint-disable-line no-await-in-loop
-				await this.#feed.refresh(); // eslint-disable-line no-await-in-loop
+				await this.#parts.ledger.adjust(); // eslint-disable-line no-await-in-loop
+				await this.#parts.feed.refresh(); // eslint-disable-line no-await-in-loop
 			} catch (error) {
 				log.warn({event: 'leave-delayed', reason: (error as Error).message});
 				await sleep(clock, REFRESH_MS); // eslint-disable-line no-await-in-loop
@@ -525,17 +343,17 @@
 		}
 
 		await this.#quietly('lease', async () => this.#renewNow());
-		log.info({event: 'left', holdsUnits: this.#ledger.holdsUnits});
+		log.info({event: 'left', holdsUnits: this.#parts.ledger.holdsUnits});
 	}
 
 	async #close(): Promise<void> {
 		const closed = new Promise<void>(resolve => {
-			this.#server.close(() => {
+			this.#parts.server.close(() => {
 				resolve();
 			});
 		});
-		this.#server.closeIdleConnections();
-		await Promise.all([closed, this.#workers.close(), this.#forwarder.close(), this.#peerClient.close()]);
+		this.#parts.server.closeIdleConnections();
+		await Promise.all([closed, this.#parts.workers.close(), this.#parts.forwarder.close(), this.#parts.peerClient.close()]);
 	}
 }
 
--- /dev/null
+++ b/packages/daemon/src/host/parts.ts
@@ -0,0 +1,190 @@
+import {type AgreementState} from '@apricotwood/agreement';
+import {type Clock, type Random} from '@apricotwood/clock';
+import {Holdings} from '@apricotwood/ledger';
+import {ClaimBook, RequestMemory, TicketSigner} from '@apricotwood/once';
+import {PlatformGuard, type Platform} from '@apricotwood/platform';
+import type {LineSink, Log, Metrics} from '@apricotwood/telemetry';
+import {AgreementBook, VERSION_PREFIX, type VersionRecord} from '../control/agreement.js';
+import {DemandTracker} from '../control/demand.js';
+import {type HostDigest} from '../control/digest.js';
+import {ControlFeed} from '../control/feed.js';
+import {Fence} from '../control/fence.js';
+import {LedgerAgent, SHARE_PREFIX} from '../control/ledger.js';
+import {HOST_PREFIX, Membership} from '../control/membership.js';
+import {Directory} from '../lookup/directory.js';
+import {Lookup} from '../lookup/lookup.js';
+import {PeerAuth} from '../peer/auth.js';
+import {PeerClient} from '../peer/client.js';
+import {Forwarder} from '../peer/forward.js';
+import {Gossip} from '../peer/gossip.js';
+import {createPeerRouter} from '../peer/router.js';
+import {Admission} from '../request/admission.js';
+import {Dispatcher} from '../request/dispatcher.js';
+import {Intake} from '../request/intake.js';
+import {OnceGate} from '../request/once.js';
+import {Pacings} from '../request/pacing.js';
+import {Placer} from '../request/placer.js';
+import {Replier} from '../request/replier.js';
+import {StallWatch} from '../request/stall.js';
+import {OperatorApi} from '../server/operator.js';
+import {createHostServer} from '../server/server.js';
+import type {Settings} from '../settings/schema.js';
+import {Workers} from '../upstream/workers.js';
+import type {Identity} from './identity.js';
+import {type HostLifecycle, HostPhase} from './phase.js';
+import {createClaimStore} from './claims.js';
+
+export type HostDeps = {
+	readonly settings: Settings;
+	readonly clusterKey: string;
+	readonly platform: Platform;
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Log;
+	readonly metrics: Metrics;
+	readonly sink: LineSink;
+};
+
+/** What the parts ask of the host that they belong to. */
+export type HostHooks = {
+	/** A version came into force. */
+	readonly onVersion: (state: AgreementState, record: VersionRecord) => void;
+	/** The host's digest, newer at each call. */
+	readonly digest: () => HostDigest;
+	readonly own: () => {readonly id: string; readonly phase: HostPhase; readonly version: number; readonly pending: readonly string[]};
+};
+
+export type HostParts = ReturnType<typeof assembleHost>;
+
+/** Builds the parts of a host and connects them; nothing runs yet. */
+export function assembleHost(deps: HostDeps, identity: Identity, life: HostLifecycle, hooks: HostHooks) {
+	const {settings, clock, random, log, metrics, sink, clusterKey} = deps;
+	const {control, request} = settings;
+	const guard = new PlatformGuard(deps.platform, {clock, random, ...settings.platform});
+	const {table, objects} = guard;
+	const pacings = new Pacings();
+	const demand = new DemandTracker();
+	const holdings = new Holdings(clock);
+	const feed = new ControlFeed({
+		table, clock, random, intervalMs: control.scanIntervalMs, onFailure(error) {
+			log.warn({event: 'platform-silent', reason: error.message});
+		},
+	});
+	const book = new AgreementBook({
+		table, objects, clock, refresh: async () => feed.refresh(), onVersion(state, record) {
+			hooks.onVersion(state, record);
+		},
+	});
+	const membership = new Membership({clock, self: identity, ...control});
+	const ledger = new LedgerAgent({
+		table, holdings, membership, self: identity, onChange(key, before, after, reason) {
+			log.info({
+				event: 'share', key, before, after, reason, version: book.state.version,
+			});
+		},
+	});
+	const workers = new Workers({
+		clock, holdings, region: settings.region, stallMs: request.stallMs, log, metrics,
+	});
+	const admission = new Admission({
+		clock, holdings, workers, region: settings.region, zone: settings.zone, ...request,
+	});
+	const auth = new PeerAuth(clusterKey, clock);
+	const signer = new TicketSigner(clusterKey);
+	const forwarder = new Forwarder({
+		clock, auth, hostId: settings.id, stallMs: request.stallMs,
+	});
+	const peerClient = new PeerClient(auth, settings.id);
+	const directory = new Directory({
+		clock,
+		self: identity,
+		membership,
+		ledger,
+		state: () => book.state,
+		ownFree: service => workers.freeOf(service),
+		isOpen: () => life.phase === HostPhase.Ready,
+	});
+	const fence = new Fence({
+		clock,
+		isolationMs: control.isolationMs,
+		lastPlatformMs: () => guard.lastAnswerMs,
+		lastPeerMs: () => membership.lastPeerMs,
+		hasPeers: () => membership.hasPeers,
+	});
+	const gossip = new Gossip({
+		clock,
+		random,
+		log,
+		hostId: settings.id,
+		zone: settings.zone,
+		intervalMs: control.gossipIntervalMs,
+		membership,
+		book,
+		client: peerClient,
+		digest: () => hooks.digest(),
+	});
+	const stalls = new StallWatch(clock, request.stallMs);
+	const lookup = new Lookup({
+		clock, log, metrics, directory, membership, signer, state: () => book.state, blocks: () => book.blocks, ...settings.lookup,
+	});
+	const memory = new RequestMemory({clock, maxRecords: request.maxRequestIds, maxBytes: request.maxAnswerBytes});
+	const claimStore = createClaimStore(table);
+	const gate = new OnceGate({
+		clock, memory, signer, claims: new ClaimBook(claimStore), hostId: settings.id, incarnation: identity.incarnation,
+	});
+	const replier = new Replier({log, metrics, peers: directory});
+	const common = {
+		clock, log, metrics, gate, replier, admission, pacings, peers: directory, stalls, maxBufferedBytes: request.maxBufferedBytes,
+	};
+	const placer = new Placer({
+		...common,
+		fence,
+		memory,
+		forwarder,
+		hostId: settings.id,
+		region: settings.region,
+		dropClaim(key) {
+			claimStore.drop(key).catch((error: unknown) => {
+				log.warn({event: 'claim-kept', key, reason: (error as Error).message});
+			});
+		},
+	});
+	const intake = new Intake({
+		clock, auth, blocks: () => book.blocks, state: () => book.state,
+	});
+	const dispatcher = new Dispatcher({
+		...common, life, intake, placer, demand, isLogFull: () => sink.isFull,
+	});
+	const server = createHostServer({
+		life,
+		lookup,
+		dispatcher,
+		auth,
+		router: createPeerRouter(gossip),
+		operator: new OperatorApi({
+			operators: settings.operators,
+			book,
+			membership,
+			ledger,
+			lookup,
+			log,
+			push: async record => gossip.push(record),
+			own: () => hooks.own(),
+		}),
+	});
+
+	feed.subscribe(VERSION_PREFIX, rows => {
+		book.applyRows(rows);
+	});
+	feed.subscribe(HOST_PREFIX, rows => {
+		membership.applyRows(rows);
+		forwarder.retain(membership.peers.map(view => view.lease));
+	});
+	feed.subscribe(SHARE_PREFIX, rows => {
+		ledger.applyRows(rows);
+	});
+
+	return {
+		guard, feed, book, membership, ledger, workers, admission, pacings, demand, directory, dispatcher, gossip, fence, forwarder, peerClient, stalls, holdings, server,
+	};
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,4 +1,5 @@
-export {Host, type HostDeps} from './host/host.js';
+export {Host} from './host/host.js';
+export type {HostDeps} from './host/parts.js';
 export {HostPhase} from './host/phase.js';
 export {parseSettings, loadSettings, readJson} from './settings/load.js';
 export type {Settings} from './settings/schema.js';
--- a/packages/daemon/src/lookup/directory.ts
+++ b/packages/daemon/src/lookup/directory.ts
@@ -10,7 +10,7 @@
 import {holderOf, type Identity} from '../host/identity.js';
 import type {PeerAddress} from '../peer/forward.js';
 import type {Alternative} from '../request/answer.js';
-import type {PeerChoice} from '../request/dispatcher.js';
+import type {PeerChoice} from '../request/peers.js';
 
 /** Peers' figures past this age count as absent, ms. */
 const MAX_FIGURE_AGE_MS = 10_000;
--- /dev/null
+++ b/packages/daemon/src/request/placer.ts
@@ -0,0 +1,283 @@
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+import type {Shift} from '@apricotwood/agreement';
+import type {Clock} from '@apricotwood/clock';
+import type {Claimed} from '@apricotwood/ledger';
+import {Outcome, RunState, type RequestMemory} from '@apricotwood/once';
+import type {Log, Metrics} from '@apricotwood/telemetry';
+import type {Fence} from '../control/fence.js';
+import type {ForwardResult, Forwarder, PeerAddress} from '../peer/forward.js';
+import {NO_WORKER, isMemberLimit, type Admission, type PlaceResult, type Placement} from './admission.js';
+import type {Cancellation} from './cancellation.js';
+import {Code, defer, type Refusal} from './codes.js';
+import type {RequestContext} from './context.js';
+import {Delivery, type DeliveryResult, type ExtraAttempt} from './delivery.js';
+import type {OnceGate, OnceRun} from './once.js';
+import type {Pacings} from './pacing.js';
+import type {PeerChoice} from './peers.js';
+import type {Replier} from './replier.js';
+import type {StallWatch} from './stall.js';
+
+export type PlacerDeps = {
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly metrics: Metrics;
+	readonly fence: Fence;
+	readonly gate: OnceGate;
+	readonly memory: RequestMemory;
+	readonly admission: Admission;
+	readonly pacings: Pacings;
+	readonly forwarder: Forwarder;
+	readonly peers: PeerChoice;
+	readonly stalls: StallWatch;
+	readonly replier: Replier;
+	readonly hostId: string;
+	readonly region: string;
+	readonly maxBufferedBytes: number;
+	/** Takes back the claim of a request that did not run; best effort. */
+	readonly dropClaim: (key: string) => void;
+};
+
+/** Finds the place where a request runs, here or on a peer, and follows it to its end. */
+export class Placer {
+	constructor(private readonly deps: PlacerDeps) {}
+
+	/** Units needed here; `undefined` when the agreement lets this caller be served only elsewhere. */
+	claimsFor(ctx: RequestContext): readonly Claimed[] | undefined {
+		const {region} = this.deps;
+		const {home, state} = ctx;
+		let shift: Shift | undefined;
+		if (home !== undefined && home !== region) {
+			shift = state.shiftsFrom(home, ctx.service.name).find(candidate => candidate.to === region);
+			if (!shift) {
+				return undefined;
+			}
+		}
+
+		return this.deps.admission.claimsOf(ctx, state, shift);
+	}
+
+	/** Gives a request a worker here, passes it on, lets it wait, or refuses it; resolves when it has ended. */
+	async place(
+		ctx: RequestContext,
+		claims: readonly Claimed[] | undefined,
+		body: Buffer | IncomingMessage | undefined,
+		cancellation: Cancellation,
+		run: OnceRun | undefined,
+	): Promise<void> {
+		const placed = claims === undefined ? undefined : this.#tryPlace(ctx, claims);
+		if (placed?.ok && claims) {
+			await this.#deliver(ctx, claims, placed.placement, body, cancellation, run);
+			return;
+		}
+
+		const blockedBy = placed && !placed.ok ? placed.blockedBy : Code.NoShift;
+		// A request id that this incarnation must run itself is not passed on.
+		const isPinned = run !== undefined;
+		if (!ctx.isForwarded && !isPinned && await this.#passOn(ctx, body, blockedBy, cancellation)) {
+			return;
+		}
+
+		if (!claims) {
+			this.#refuseRun(ctx, defer(Code.NoShift, `no shift lets callers of ${ctx.home ?? ''} be served in ${this.deps.region}`), run);
+			return;
+		}
+
+		await this.#wait(ctx, claims, blockedBy, body, cancellation, run);
+	}
+
+	#tryPlace(ctx: RequestContext, claims: readonly Claimed[]): PlaceResult {
+		const {admission, fence} = this.deps;
+		if (!fence.mayStart()) {
+			return {ok: false, blockedBy: Code.Isolated};
+		}
+
+		// Those who wait go first.
+		const isQueued = admission.queueOf(ctx.service.name).length > 0;
+		return isQueued ? {ok: false, blockedBy: NO_WORKER} : admission.place(ctx.service.name, claims);
+	}
+
+	async #wait(
+		ctx: RequestContext,
+		claims: readonly Claimed[],
+		blockedBy: string,
+		body: Buffer | IncomingMessage | undefined,
+		cancellation: Cancellation,
+		run: OnceRun | undefined,
+	): Promise<void> {
+		if (isMemberLimit(blockedBy) || blockedBy === (Code.Isolated as string)) {
+			this.#refuseRun(ctx, this.#refusalFor(ctx, blockedBy), run);
+			return;
+		}
+
+		const placed = await this.deps.admission.waitForPlace(ctx, claims, cancellation.signal);
+		if (!placed.ok) {
+			this.#refuseRun(ctx, this.#refusalFor(ctx, placed.blockedBy), run);
+			return;
+		}
+
+		await this.#deliver(ctx, claims, placed.placement, body, cancellation, run);
+	}
+
+	#refusalFor(ctx: RequestContext, blockedBy: string): Refusal {
+		if (blockedBy === (Code.Isolated as string)) {
+			return defer(Code.Isolated, 'this host is cut off, or has just woken; try another one', 1000);
+		}
+
+		return this.deps.admission.refusalOf(ctx.service, blockedBy);
+	}
+
+	async #deliver(
+		ctx: RequestContext,
+		claims: readonly Claimed[],
+		placement: Placement,
+		body: Buffer | IncomingMessage | undefined,
+		cancellation: Cancellation,
+		run: OnceRun | undefined,
+	): Promise<void> {
+		this.#logPlacement('dispatch', ctx, placement, undefined);
+		const delivery = new Delivery({
+			clock: this.deps.clock,
+			admission: this.deps.admission,
+			hostId: this.deps.hostId,
+			maxStoredBytes: this.deps.maxBufferedBytes,
+			onShed: () => {
+				this.deps.metrics.count('sheds');
+			},
+			onExtraAttempt: (extraCtx, kind, extra, cause) => {
+				this.#noteExtraAttempt(extraCtx, kind, extra, cause);
+			},
+		}, ctx, this.deps.pacings.of(ctx.service.name), claims, body, run !== undefined);
+		cancellation.onCancel = () => {
+			delivery.callerLeft();
+		};
+
+		const isStreamed = body !== undefined && !Buffer.isBuffer(body);
+		const unwatch = isStreamed
+			? this.deps.stalls.watch(ctx.req, () => {
+				delivery.callerStalled();
+			})
+			: undefined;
+		const result = await delivery.run(placement);
+		unwatch?.();
+		cancellation.onCancel = undefined;
+		this.#settle(ctx, result, run);
+	}
+
+	#settle(ctx: RequestContext, result: DeliveryResult, run: OnceRun | undefined): void {
+		const {clock, metrics, memory} = this.deps;
+		const spanMs = clock.monotonic() - ctx.startedMs;
+		metrics.latency(`latency.${ctx.service.name}`, spanMs);
+		if (run) {
+			if (result.outcome === Outcome.Answered) {
+				memory.answer(run.record, result.stored);
+			} else if (result.outcome === Outcome.NotRun) {
+				this.#forget(run);
+			} else {
+				run.record.settle(RunState.Unknown);
+			}
+		}
+
+		if (result.refusal) {
+			this.deps.replier.reply(ctx.res, result.refusal, ctx);
+			return;
+		}
+
+		metrics.count('outcome.answered');
+	}
+
+	/** Refuses a request that was begun and has not run. */
+	#refuseRun(ctx: RequestContext, refusal: Refusal, run: OnceRun | undefined): void {
+		if (run) {
+			this.#forget(run);
+		}
+
+		this.deps.replier.reply(ctx.res, refusal, ctx);
+	}
+
+	#forget(run: OnceRun): void {
+		this.deps.gate.forget(run);
+		if (run.claimKey !== undefined) {
+			this.deps.dropClaim(run.claimKey);
+		}
+	}
+
+	/** Passes a request to a peer that likely has room. @returns whether the request has ended. */
+	async #passOn(ctx: RequestContext, body: Buffer | IncomingMessage | undefined, blockedBy: string, cancellation: Cancellation): Promise<boolean> {
+		const {peers, region} = this.deps;
+		const isStrange = blockedBy === (Code.NoShift as string);
+		const target = isStrange ? ctx.home ?? region : region;
+		const peer = peers.withRoom(target, ctx.service.name, ctx.caps, ctx.member.name, isStrange ? Number.NEGATIVE_INFINITY : this.deps.admission.roomOf(ctx.service.name)) ?? this.#acrossShift(ctx, blockedBy);
+		if (!peer) {
+			return false;
+		}
+
+		const result = await this.forward(ctx, peer, body, blockedBy, cancellation);
+		if (result.refusal && !result.reachedPeer) {
+			return false;
+		}
+
+		if (result.refusal) {
+			this.deps.replier.reply(ctx.res, result.refusal, ctx);
+		}
+
+		return true;
+	}
+
+	/** Overflow goes where a shift lets this region's callers go. */
+	#acrossShift(ctx: RequestContext, blockedBy: string): PeerAddress | undefined {
+		if (blockedBy !== NO_WORKER) {
+			return undefined;
+		}
+
+		for (const shift of ctx.state.shiftsFrom(ctx.home ?? this.deps.region, ctx.service.name)) {
+			const peer = this.deps.peers.withRoom(shift.to, ctx.service.name, ctx.caps, ctx.member.name, 0);
+			if (peer) {
+				return peer;
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Passes a request on to one peer. */
+	async forward(ctx: RequestContext, peer: PeerAddress, body: Buffer | IncomingMessage | undefined, reason: string, cancellation: Cancellation): Promise<ForwardResult> {
+		this.deps.log.info({
+			event: 'forward', reqId: ctx.logId, service: ctx.service.name, member: ctx.member.name, peer: peer.id, reason,
+		});
+		this.deps.metrics.count('forwards');
+		this.deps.peers.recordForward(peer.id, ctx.service.name);
+		const result = await this.deps.forwarder.forward(ctx, peer, body, cancel => {
+			cancellation.onCancel = cancel;
+		});
+		cancellation.onCancel = undefined;
+		if (result.peerRoom !== undefined) {
+			this.deps.peers.recordRoom(peer.id, ctx.service.name, result.peerRoom);
+		}
+
+		return result;
+	}
+
+	#logPlacement(event: string, ctx: RequestContext, {link, choice, figureAges}: Placement, cause: string | undefined): void {
+		this.deps.log.info({
+			event,
+			reqId: ctx.logId,
+			service: ctx.service.name,
+			member: ctx.member.name,
+			worker: link.worker.name,
+			score: Math.round(choice.score * 100) / 100,
+			considered: choice.considered,
+			free: link.free,
+			granted: link.holding.granted,
+			latencyAgeMs: figureAges.latencyMs,
+			loadAgeMs: figureAges.loadMs,
+			load: link.load?.value,
+			cause,
+		});
+	}
+
+	#noteExtraAttempt(ctx: RequestContext, kind: ExtraAttempt, placement: Placement, cause: string): void {
+		this.deps.metrics.count(kind);
+		this.#logPlacement(kind, ctx, placement, cause);
+	}
+}
--- a/packages/daemon/src/upstream/attempt.ts
+++ b/packages/daemon/src/upstream/attempt.ts
@@ -171,7 +171,7 @@
 	/** End-to-end headers of an answer; a worker's own `apricotwood-` headers stop here. */
 	#copyHeaders(parsed: Readonly<Record<string, string | string[]>>): string[] {
 		const headers: string[] = [];
-		const options = readConnectionOptions(parsed['connection'] as string | undefined);
+		const options = readConnectionOptions(parsed.connection as string | undefined);
 		for (const [name, value] of Object.entries(parsed)) {
 			const isOwn = !this.request.isPeer && name.startsWith('apricotwood-');
 			if (isOwn || !isEndToEnd(name, options)) {
