--- a/packages/daemon/src/lookup/directory.ts
+++ b/packages/daemon/src/lookup/directory.ts
@@ -1,5 +1,5 @@
 import {
-	DrainKind, ResourceKind, type AgreementState, type Cap,
+	DrainKind, ResourceKind, type AgreementState, type Cap, type Worker,
 } from '@apricotwood/agreement';
 import type {Clock} from '@apricotwood/clock';
 import {
@@ -17,6 +17,8 @@
 /** Without a fresh figure a host's units count as half free. */
 const ASSUMED_FREE_PART = 0.5;
 const MAX_ALTERNATIVES = 3;
+/** Part of a host's weight that follows its free units. */
+const ROOM_PART = 0.5;
 /** A peer's room is trusted for passing requests on until this age, ms. */
 const MAX_ROOM_AGE_MS = 5000;
 /** Without free units anywhere, a peer is chosen only if its backlog is shorter than ours by this. */
@@ -141,36 +143,41 @@
 		return isSelf ? this.options.isOpen() : this.options.membership.isUsable(view);
 	}
 
+	/**
+	 * Weighs hosts by the units they hold, and by half at most for those that are
+	 * free: callers keep an answer for seconds, so a weight that followed the room
+	 * of the moment would send them all to one host and then to the next.
+	 */
 	#rank(views: readonly HostView[], region: string, service: string, state: AgreementState): EntryHost[] {
 		const workers = state.workersIn(region, service).filter(worker => !state.isWorkerDrained(worker));
-		let total = 0;
-		for (const worker of workers) {
-			total += worker.slots;
-		}
-
-		const hosts: EntryHost[] = [];
-		for (const {lease, hash, digest, digestAtMs} of views) {
-			if (lease.region !== region || total === 0) {
-				continue;
+		const holders: Array<{view: HostView; held: number}> = [];
+		let mostHeld = 0;
+		for (const view of views) {
+			const held = view.lease.region === region ? this.#heldBy(view, workers) : 0;
+			if (held > 0) {
+				holders.push({view, held});
+				mostHeld = Math.max(mostHeld, held);
 			}
+		}
 
-			const holder = holderOf(lease);
-			let held = 0;
-			for (const worker of workers) {
-				held += this.options.ledger.heldBy(`${ResourceKind.Worker}/${worker.name}`, holder);
-			}
+		return holders.map(({view: {lease, hash, digest, digestAtMs}, held}) => {
+			const {id, address, port, zone} = lease;
+			const free = Math.min(held, this.#freeOf(id, service, held, digest?.free[service], digestAtMs));
+			const goal = held / mostHeld * (1 - (ROOM_PART * (1 - (free / held))));
+			return {
+				id, address, port, zone, region, hash, weight: this.#stepped(`${id}/${service}`, goal),
+			};
+		});
+	}
 
-			if (held > 0) {
-				const free = this.#freeOf(lease.id, service, held, digest?.free[service], digestAtMs);
-				const weight = this.#stepped(`${lease.id}/${service}`, free / total);
-				const {id, address, port, zone} = lease;
-				hosts.push({
-					id, address, port, zone, region, hash, weight,
-				});
-			}
+	#heldBy({lease}: HostView, workers: readonly Worker[]): number {
+		const holder = holderOf(lease);
+		let held = 0;
+		for (const worker of workers) {
+			held += this.options.ledger.heldBy(`${ResourceKind.Worker}/${worker.name}`, holder);
 		}
 
-		return hosts;
+		return held;
 	}
 
 	/** Free units of a host, by its last report; an old report fades into an assumption. */
