fix(demo): the printed commands work as soon as they are printed

Cause: a fresh clone's start said that it was up once agreements were in force, a second before shares were claimed; the printed look-up then answered no-room. It now waits until a look-up in each region finds a host. Before: 503 no-room; after: 200.

--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -1,4 +1,5 @@
 import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
 import {SystemClock, SystemRandom} from '@apricotwood/clock';
 import {Host, parseSettings} from '@apricotwood/daemon';
 import {createMemoryPlatform} from '@apricotwood/platform';
@@ -53,7 +54,7 @@
 	const runs = hosts.map(async host => host.run(stop.signal));
 	const [first] = hosts;
 	await fetch(`http://127.0.0.1:${first?.port}/v1/agreement/patches`, {method: 'POST', body: JSON.stringify(createFirstPatch(agreement))});
-	await waitUntilReady(hosts, stop.signal);
+	await waitUntilReady(hosts, deployment, stop.signal);
 	if (!stop.signal.aborted) {
 		sink.flush();
 		printHints(deployment, first?.port ?? FIRST_PORT);
@@ -77,12 +78,16 @@
 	return workers;
 }
 
-async function waitUntilReady(hosts: readonly Host[], signal: AbortSignal): Promise<void> {
-	while (!signal.aborted && !hosts.every(host => host.isReady)) {
-		await new Promise<void>(resolve => { // eslint-disable-line no-await-in-loop
-			clock.after(READY_POLL_MS, resolve);
-			setTimeout(resolve, READY_POLL_MS);
-		});
+/** Waits until look-ups find a host in every region, so that the printed commands work at once. */
+async function waitUntilReady(hosts: readonly Host[], {services, members}: Deployment, signal: AbortSignal): Promise<void> {
+	const paths = hosts.map((_host, index) => `/v1/lookup?service=${services[0]?.name}&member=${members[0]}&addr=127.${1 + (index * 2)}.0.9`);
+	while (!signal.aborted) {
+		const answers = await Promise.all(hosts.map(async ({port}, index) => fetch(`http://127.0.0.1:${port}${paths[index]}`))); // eslint-disable-line no-await-in-loop
+		if (answers.every(answer => answer.ok)) {
+			return;
+		}
+
+		await delay(READY_POLL_MS); // eslint-disable-line no-await-in-loop
 	}
 }
 
