--- a/packages/blocks/src/table.ts
+++ b/packages/blocks/src/table.ts
@@ -75,18 +75,6 @@
 		}
 	}
 
-	/** Makes room for `count` prefixes at once. */
-	reserve(count: number): void {
-		let capacity = this.#value.length;
-		while (count > capacity * MAX_LOAD) {
-			capacity *= 2;
-		}
-
-		if (capacity > this.#value.length) {
-			this.#resize(capacity);
-		}
-	}
-
 	#find(high: number, low: number): number {
 		const mask = this.#value.length - 1;
 		let cell = mixHashes(high, low) & mask;
