feat(entry): requests of the users' platform served end to end

Cause: the users' machines speak their own protocol and share no state but the platform's store. Change: pure decisions in packages/steering (routes, fleet, warm objects, load, limits on cold workers, repeat budget, placing, waiting), their I/O in packages/entry (request path, beats between hosts, one reader of the store for all, catch-up over tRPC), and platform/ as the translation. The product's own interface to a store moves from packages/platform to packages/store, so that no two things bear one name.

Ruled out: an owner host for each worker (one more hop for every request, and an agreement on owners); every host reading the store by itself (priced calls).

--- a/packages/bench/src/scale.ts
+++ b/packages/bench/src/scale.ts
@@ -7,7 +7,7 @@
 	HOST_PREFIX, HostPhase, LedgerAgent, Membership, type Identity, type LeaseRow,
 } from '@apricotwood/daemon';
 import {Holdings} from '@apricotwood/ledger';
-import {MemoryTable} from '@apricotwood/platform';
+import {MemoryTable} from '@apricotwood/store';
 import {type Experiment, type Figure} from './experiment.js';
 
 const REGIONS = 12;
--- a/packages/bench/src/server.ts
+++ b/packages/bench/src/server.ts
@@ -7,7 +7,7 @@
 import {Pool} from 'undici';
 import {SystemClock, SystemRandom} from '@apricotwood/clock';
 import {Host, parseSettings} from '@apricotwood/daemon';
-import {createMemoryPlatform} from '@apricotwood/platform';
+import {createMemoryPlatform} from '@apricotwood/store';
 import {checkAgreement, EMPTY_AGREEMENT, diffAgreements} from '@apricotwood/agreement';
 import {
 	BatchSink, LogFormat, LogLevel, Metrics, createLog,
--- a/packages/daemon/src/control/agreement.ts
+++ b/packages/daemon/src/control/agreement.ts
@@ -5,7 +5,7 @@
 import type {Clock} from '@apricotwood/clock';
 import {
 	type ObjectStore, type Row, type RowWrite, type Table,
-} from '@apricotwood/platform';
+} from '@apricotwood/store';
 import {CONTROL_PREFIX} from './feed.js';
 
 const HEAD_KEY = `${CONTROL_PREFIX}agreement/head`;
--- a/packages/daemon/src/control/feed.ts
+++ b/packages/daemon/src/control/feed.ts
@@ -1,7 +1,7 @@
 import {
 	jitter, sleep, type Clock, type Random,
 } from '@apricotwood/clock';
-import type {Row, Table} from '@apricotwood/platform';
+import type {Row, Table} from '@apricotwood/store';
 
 /** Prefix of all rows that every host follows. */
 export const CONTROL_PREFIX = 'control/';
--- a/packages/daemon/src/control/ledger.ts
+++ b/packages/daemon/src/control/ledger.ts
@@ -4,7 +4,7 @@
 import {
 	CandidateIndex, EMPTY_SHARE, countFree, divideUnits, planEntry, reclaimEntries, setEntry, type Candidate, type Holdings, type ShareRow,
 } from '@apricotwood/ledger';
-import type {Row, RowWrite, Table} from '@apricotwood/platform';
+import type {Row, RowWrite, Table} from '@apricotwood/store';
 import {holderOf, type Identity} from '../host/identity.js';
 import {HostPhase} from '../host/phase.js';
 import {CONTROL_PREFIX} from './feed.js';
--- a/packages/daemon/src/control/membership.ts
+++ b/packages/daemon/src/control/membership.ts
@@ -2,7 +2,7 @@
 import {ListedAs, isGone, type HolderFacts} from '@apricotwood/ledger';
 import {
 	ListedState, type ListedHost, type Row, type Table,
-} from '@apricotwood/platform';
+} from '@apricotwood/store';
 import {hashText} from '@apricotwood/routing';
 import {holderOf, type Identity} from '../host/identity.js';
 import {HostPhase} from '../host/phase.js';
--- a/packages/daemon/src/host/claims.ts
+++ b/packages/daemon/src/host/claims.ts
@@ -1,5 +1,5 @@
 import type {ClaimRow, ClaimStore} from '@apricotwood/once';
-import type {Table} from '@apricotwood/platform';
+import type {Table} from '@apricotwood/store';
 
 /** Claims kept in the platform's table. */
 export type TableClaims = ClaimStore & {
--- a/packages/daemon/src/host/parts.ts
+++ b/packages/daemon/src/host/parts.ts
@@ -2,7 +2,7 @@
 import {type Clock, type Random} from '@apricotwood/clock';
 import {Holdings} from '@apricotwood/ledger';
 import {ClaimBook, RequestMemory, TicketSigner} from '@apricotwood/once';
-import {PlatformGuard, type Platform} from '@apricotwood/platform';
+import {PlatformGuard, type Platform} from '@apricotwood/store';
 import type {LineSink, Log, Metrics} from '@apricotwood/telemetry';
 import {AgreementBook, VERSION_PREFIX, type VersionRecord} from '../control/agreement.js';
 import {DemandTracker} from '../control/demand.js';
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -3,7 +3,7 @@
 import {parseArgs} from 'node:util';
 import {SystemClock, SystemRandom} from '@apricotwood/clock';
 import {FindingsError} from '@apricotwood/findings';
-import {HttpPlatform, createMemoryPlatform, type Platform} from '@apricotwood/platform';
+import {HttpPlatform, createMemoryPlatform, type Platform} from '@apricotwood/store';
 import {
 	BatchSink, type LogFormat, LogLevel, Metrics, createLog,
 } from '@apricotwood/telemetry';
--- a/packages/daemon/src/server/operator.ts
+++ b/packages/daemon/src/server/operator.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {parsePatch} from '@apricotwood/agreement';
 import {FindingsError} from '@apricotwood/findings';
-import {PlatformError} from '@apricotwood/platform';
+import {PlatformError} from '@apricotwood/store';
 import type {Log} from '@apricotwood/telemetry';
 import {CommitOutcome, type AgreementBook, type VersionRecord} from '../control/agreement.js';
 import type {LedgerAgent} from '../control/ledger.js';
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -2,7 +2,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {SystemClock, SystemRandom} from '@apricotwood/clock';
 import {Host, parseSettings} from '@apricotwood/daemon';
-import {createMemoryPlatform} from '@apricotwood/platform';
+import {createMemoryPlatform} from '@apricotwood/store';
 import {
 	FRASER_REACH, HOOGHLY_OARS, StandinWorker, createAgreement, createFirstPatch, zonesOf, type Deployment,
 } from '@apricotwood/standin';
--- /dev/null
+++ b/packages/entry/src/request/body.ts
@@ -0,0 +1,92 @@
+import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
+
+export enum BodyResult {
+	Whole = 'whole',
+	/** Longer than what is kept; the rest still comes from the request. */
+	Long = 'long',
+	/** Longer than callers may send. */
+	TooLong = 'too-long',
+	/** The caller left, or sent less than it had said. */
+	Broken = 'broken',
+}
+
+export type ReadBody = {
+	readonly result: BodyResult;
+	/** What has been read. */
+	readonly bytes: Buffer;
+};
+
+/** Bodies up to this size are read before a worker is chosen, so that they can be sent again, bytes. */
+const MAX_KEPT_BYTES = 1024 * 1024;
+
+/** Whether a request announces a body. */
+export function hasBody({headers}: IncomingMessage): boolean {
+	return headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
+}
+
+/** Reads a body as far as it is kept. */
+export async function readBody(req: IncomingMessage, maxBytes: number): Promise<ReadBody> {
+	const length = Number(req.headers['content-length'] ?? 0);
+	if (length > maxBytes) {
+		return {result: BodyResult.TooLong, bytes: Buffer.alloc(0)};
+	}
+
+	if (length > MAX_KEPT_BYTES) {
+		return {result: BodyResult.Long, bytes: Buffer.alloc(0)};
+	}
+
+	const chunks: Buffer[] = [];
+	let bytes = 0;
+	return new Promise(resolve => {
+		const settle = (result: BodyResult) => {
+			req.off('data', onData);
+			req.off('end', onEnd);
+			req.off('close', onClose);
+			if (result === BodyResult.Long) {
+				req.pause();
+			}
+
+			resolve({result, bytes: Buffer.concat(chunks)});
+		};
+
+		const onData = (chunk: Buffer) => {
+			chunks.push(chunk);
+			bytes += chunk.length;
+			if (bytes > maxBytes) {
+				settle(BodyResult.TooLong);
+			} else if (bytes > MAX_KEPT_BYTES) {
+				settle(BodyResult.Long);
+			}
+		};
+
+		const onEnd = () => {
+			settle(BodyResult.Whole);
+		};
+
+		const onClose = () => {
+			settle(req.complete ? BodyResult.Whole : BodyResult.Broken);
+		};
+
+		req.on('data', onData);
+		req.on('end', onEnd);
+		req.on('close', onClose);
+	});
+}
+
+/** A long body: what has been read of it, then the rest as it comes, up to the caller's limit. */
+export async function * joinBody(read: Buffer, req: IncomingMessage, maxBytes: number): AsyncGenerator<Buffer> {
+	let bytes = read.length;
+	if (read.length > 0) {
+		yield read;
+	}
+
+	for await (const chunk of req.iterator({destroyOnReturn: false})) {
+		bytes += (chunk as Buffer).length;
+		if (bytes > maxBytes) {
+			throw new Error(`the body is longer than ${maxBytes} bytes`);
+		}
+
+		yield chunk as Buffer;
+	}
+}
--- /dev/null
+++ b/packages/entry/src/request/ingress.ts
@@ -0,0 +1,129 @@
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {DEFAULT_LIMITS, type CallerLimits} from '@apricotwood/steering';
+import type {SharedState} from '../state/shared.js';
+import {countHeaderBytes} from './headers.js';
+import type {SessionParts} from './parts.js';
+import {Code, notRun, reject, type Rejection} from './reject.js';
+import {Session} from './session.js';
+
+/** Hard bound of the parser; the configured limit is checked after it, bytes. */
+const PARSER_HEADER_BYTES = 256 * 1024;
+/** Kept connections outlive the callers' idle limit by this, so that no request crosses their close, ms. */
+const IDLE_MARGIN_MS = 2000;
+/** Age of the routes from which an unknown route is no proof that there is none, ms. */
+const STALE_ROUTES_MS = 2000;
+const RETRY_SOON_MS = 300;
+
+/** Takes callers' requests. */
+export class Ingress {
+	readonly #server: Server;
+	#running = 0;
+	#isLeaving = false;
+
+	constructor(private readonly state: SharedState, private readonly parts: SessionParts) {
+		this.#server = createServer({maxHeaderSize: PARSER_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: 1000}, (req, res) => {
+			void this.#handle(req, res);
+		});
+		this.setLimits(DEFAULT_LIMITS);
+		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+			this.parts.log.info({event: 'bad-request', message: error.message, code: error.code});
+			if (socket.writable) {
+				socket.end(`HTTP/1.1 ${error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+			}
+		});
+	}
+
+	/** Requests that have no whole answer yet. */
+	get running(): number {
+		return this.#running;
+	}
+
+	setLimits({headerTimeoutMs, idleTimeoutMs}: CallerLimits): void {
+		this.#server.headersTimeout = headerTimeoutMs;
+		this.#server.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
+	}
+
+	async listen(ip: string, port: number): Promise<void> {
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, ip, 1024, resolve);
+		});
+	}
+
+	/** Asks callers to go elsewhere with their next request; goes on serving. */
+	leave(): void {
+		this.#isLeaving = true;
+	}
+
+	/** Takes no new connections; requests in flight go on. */
+	close(): void {
+		this.#server.close();
+		this.#server.closeIdleConnections();
+	}
+
+	destroy(): void {
+		this.#server.closeAllConnections();
+	}
+
+	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		this.#running++;
+		try {
+			if (this.#isLeaving) {
+				res.setHeader('connection', 'close');
+			}
+
+			await this.#serve(req, res);
+		} catch (error) {
+			this.parts.log.error({event: 'request-failed', url: req.url, message: (error as Error).stack});
+			res.destroy();
+		} finally {
+			this.#running--;
+		}
+	}
+
+	async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const {table} = this.state;
+		if (!table) {
+			this.#refuse(req, res, notRun(Code.NotReady, 'this host has no configuration yet', RETRY_SOON_MS));
+			return;
+		}
+
+		if (countHeaderBytes(req) > table.config.limits.maxHeaderBytes) {
+			this.#refuse(req, res, {code: Code.HeaderTooLong, status: 431, message: `the header is longer than ${table.config.limits.maxHeaderBytes} bytes`});
+			return;
+		}
+
+		const route = table.match(req.headers.host ?? '', pathOf(req.url ?? '/'));
+		if (!route) {
+			const isStale = this.state.ageMs() > STALE_ROUTES_MS;
+			this.#refuse(req, res, isStale
+				? notRun(Code.StaleRoutes, 'this host may lack newer routes', RETRY_SOON_MS)
+				: {code: Code.NoRoute, status: 404, message: `no route fits ${req.headers.host}${req.url}`});
+			return;
+		}
+
+		await new Session(this.parts, req, res, route, this.parts.dialect.readCaller(req.headers)).run();
+	}
+
+	#refuse(req: IncomingMessage, res: ServerResponse, rejection: Rejection): void {
+		this.parts.metrics.count(`requests.${rejection.code}`);
+		this.parts.log.info({
+			event: 'request',
+			id: this.parts.dialect.readCaller(req.headers).requestId,
+			code: rejection.code,
+			status: rejection.status,
+			host: req.headers.host,
+			url: req.url,
+			config: this.state.table?.version,
+			ageMs: Math.round(this.state.ageMs()),
+		});
+		reject(res, rejection);
+	}
+}
+
+function pathOf(url: string): string {
+	const query = url.indexOf('?');
+	return query === -1 ? url : url.slice(0, query);
+}
--- /dev/null
+++ b/packages/entry/src/request/parts.ts
@@ -0,0 +1,45 @@
+import type {Clock, Random} from '@apricotwood/clock';
+import type {
+	LoadView, Placer, RepeatBudget, ServiceSplit, ServiceTimes, WaitingList, WarmObjects, WorkerJudge,
+} from '@apricotwood/steering';
+import type {Log, Metrics} from '@apricotwood/telemetry';
+import type {Dialect} from '../dialect.js';
+import type {ConnectionPool} from '../upstream/pool.js';
+import type {Patience} from './patience.js';
+
+/** An attempt that has no answer yet. */
+export type RunningAttempt = {
+	readonly worker: number;
+	/** Monotonic ms. */
+	readonly startMs: number;
+	readonly expectedMs: number;
+};
+
+/** What all sessions of a host share. */
+export type SessionParts = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Log;
+	readonly metrics: Metrics;
+	readonly dialect: Dialect;
+	readonly placer: Placer;
+	readonly pool: ConnectionPool;
+	readonly load: LoadView;
+	readonly warm: WarmObjects;
+	readonly times: ServiceTimes;
+	readonly judge: WorkerJudge;
+	readonly repeats: RepeatBudget;
+	readonly split: ServiceSplit;
+	readonly patience: Patience;
+	readonly waiting: WaitingList<() => void>;
+	readonly running: Set<RunningAttempt>;
+	readonly maxBodyBytes: () => number;
+	/** Hosts that share workers and budgets, this one included. */
+	readonly hosts: () => number;
+	/** Version of the configuration in force, for the log. */
+	readonly version: () => number | undefined;
+	/** Called when a request about an object goes to a worker. */
+	readonly onSent: (worker: number, object: number) => void;
+	/** Called when a worker may have room. */
+	readonly onRoom: () => void;
+};
--- /dev/null
+++ b/packages/entry/src/upstream/connection.ts
@@ -0,0 +1,71 @@
+import type {Socket} from 'node:net';
+import {Client, buildConnector} from 'undici';
+
+/** Time for a new connection to a worker, ms. */
+const CONNECT_TIMEOUT_MS = 400;
+/** Time that a kept connection may stay unused when the worker does not say, ms. */
+const DEFAULT_KEEP_ALIVE_MS = 4000;
+/** Probes on silent connections start after this span, ms. */
+const KEEP_ALIVE_PROBE_MS = 1000;
+
+const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS, keepAlive: true, keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS, allowH2: false});
+
+/** One connection to a worker, for one request at a time. */
+export class Connection {
+	readonly client: Client;
+	#wasReset = false;
+	#isClosed = false;
+	/** Monotonic ms at which it was last given back. */
+	idleSinceMs = 0;
+	/** Requests that it has carried. */
+	uses = 0;
+
+	constructor(address: string) {
+		this.client = new Client(`http://${address}`, {
+			connect: (options, callback) => {
+				connect(options, (...args) => {
+					const [error, socket] = args;
+					if (error === null) {
+						this.#watch(socket);
+					}
+
+					callback(...args);
+				});
+			},
+			pipelining: 1,
+			keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
+			bodyTimeout: 0,
+			headersTimeout: 0,
+		});
+		this.client.on('disconnect', () => {
+			this.#isClosed = true;
+		});
+	}
+
+	/** Whether the worker reset the connection: an answer without a length is then not whole. */
+	get wasReset(): boolean {
+		return this.#wasReset;
+	}
+
+	get isClosed(): boolean {
+		return this.#isClosed;
+	}
+
+	close(): void {
+		this.#isClosed = true;
+		this.client.destroy().catch(() => {
+			// Nothing of it is used any more.
+		});
+	}
+
+	/** Listens before the client does, which takes a reset for the end of an answer without a length. */
+	#watch(socket: Socket): void {
+		socket.on('error', () => {
+			this.#wasReset = true;
+		});
+		socket.on('close', hadError => {
+			this.#wasReset ||= hadError;
+			this.#isClosed = true;
+		});
+	}
+}
--- /dev/null
+++ b/packages/entry/src/upstream/exchange.ts
@@ -0,0 +1,208 @@
+import {Buffer} from 'node:buffer';
+import type {Readable} from 'node:stream';
+import type {Dispatcher} from 'undici';
+import type {AnswerHeaders, AnswerSigns, Dialect} from '../dialect.js';
+import type {Connection} from './connection.js';
+
+/** One request to one worker. */
+export type ExchangeRequest = {
+	readonly method: string;
+	readonly path: string;
+	/** Names and values in turn. */
+	readonly headers: string[];
+	readonly body: Buffer | Readable | undefined;
+	/** Echoed by the worker; another id in the answer means that it belongs to another request. */
+	readonly requestId: string | undefined;
+};
+
+export type AnswerHead = {
+	readonly status: number;
+	readonly headers: AnswerHeaders;
+	readonly signs: AnswerSigns;
+};
+
+/** How an exchange ended. */
+export enum ExchangeEnd {
+	/** The whole answer is here. */
+	Answered = 'answered',
+	/** The answer was too long to be kept and was passed on as it came, whole. */
+	Streamed = 'streamed',
+	/** Part of the answer was passed on, and the rest will not come. */
+	Cut = 'cut',
+	/** No connection; nothing was sent. */
+	Unreachable = 'unreachable',
+	/** The connection broke, or the answer was spoilt, after something was sent. */
+	Broken = 'broken',
+	/** The answer belongs to another request. */
+	Stray = 'stray',
+	/** Ended by this host. */
+	Cancelled = 'cancelled',
+}
+
+export type ExchangeResult = {
+	readonly end: ExchangeEnd;
+	/** Whether the worker may have run the request. */
+	readonly mayHaveRun: boolean;
+	/** Whether the connection can carry another request. */
+	readonly isReusable: boolean;
+	readonly head: AnswerHead | undefined;
+	readonly body: Buffer;
+	readonly message: string;
+};
+
+/** Takes an answer that is too long to be kept. */
+export interface AnswerSink {
+	start(head: AnswerHead): void;
+	/** @returns whether more may come at once; otherwise `resume` is called later. */
+	write(chunk: Buffer, resume: () => void): boolean;
+}
+
+/** Answers up to this size are kept whole before anything of them is passed on, bytes. */
+export const MAX_KEPT_BYTES = 128 * 1024;
+
+const BODILESS = new Set([204, 304]);
+
+/** One exchange on a connection. It resolves once and never throws. */
+export class Exchange implements Dispatcher.DispatchHandler {
+	#controller: Dispatcher.DispatchController | undefined;
+	#wasSent = false;
+	#isOver = false;
+	#isCancelled = false;
+	#isStray = false;
+	#isStreaming = false;
+	#head: AnswerHead | undefined;
+	#chunks: Buffer[] = [];
+	#bytes = 0;
+	#resolve: (result: ExchangeResult) => void = () => {};
+
+	constructor(
+		private readonly connection: Connection,
+		private readonly request: ExchangeRequest,
+		private readonly dialect: Dialect,
+		private readonly sink: AnswerSink,
+	) {}
+
+	/** Whether bytes of the request may have reached the worker. */
+	get wasSent(): boolean {
+		return this.#wasSent;
+	}
+
+	async run(): Promise<ExchangeResult> {
+		const {method, path, headers, body} = this.request;
+		return new Promise(resolve => {
+			this.#resolve = resolve;
+			this.connection.uses++;
+			this.connection.client.dispatch({
+				method, path, headers, body: body ?? null,
+			}, this);
+		});
+	}
+
+	/** Ends the exchange and its connection. */
+	cancel(): void {
+		this.#isCancelled = true;
+		this.#controller?.abort(new Error('cancelled'));
+		this.#finish(this.#isStreaming ? ExchangeEnd.Cut : ExchangeEnd.Cancelled, 'ended by this host', false);
+		this.connection.close();
+	}
+
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		this.#controller = controller;
+		if (this.#isCancelled) {
+			controller.abort(new Error('cancelled'));
+			return;
+		}
+
+		this.#wasSent = true;
+	}
+
+	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: AnswerHeaders): void {
+		if (status < 200) {
+			return;
+		}
+
+		const signs = this.dialect.readAnswer(status, headers);
+		if (signs.requestId !== undefined && signs.requestId !== this.request.requestId) {
+			this.#isStray = true;
+			controller.abort(new Error('the answer belongs to another request'));
+			return;
+		}
+
+		this.#head = {status, headers, signs};
+	}
+
+	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		if (!this.#isStreaming) {
+			this.#chunks.push(chunk);
+			this.#bytes += chunk.length;
+			if (this.#bytes <= MAX_KEPT_BYTES || !this.#head) {
+				return;
+			}
+
+			this.#isStreaming = true;
+			this.sink.start(this.#head);
+			chunk = Buffer.concat(this.#chunks);
+			this.#chunks = [];
+		}
+
+		const goesOn = this.sink.write(chunk, () => {
+			controller.resume();
+		});
+		if (!goesOn) {
+			controller.pause();
+		}
+	}
+
+	onResponseEnd(): void {
+		const isUnframed = this.#head !== undefined && !isFramed(this.request.method, this.#head);
+		// The end of an answer without a length is the end of its connection; a reset is delivered to our listener first.
+		if (isUnframed && this.connection.wasReset) {
+			this.#finish(this.#isStreaming ? ExchangeEnd.Cut : ExchangeEnd.Broken, 'the connection was reset before the end of the answer', false);
+			return;
+		}
+
+		const isClosing = String(this.#head?.headers.connection ?? '').toLowerCase().includes('close');
+		this.#finish(this.#isStreaming ? ExchangeEnd.Streamed : ExchangeEnd.Answered, '', !isClosing && !isUnframed);
+	}
+
+	onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
+		this.#finish(this.#endOf(), error.message, false);
+	}
+
+	#endOf(): ExchangeEnd {
+		if (this.#isStreaming) {
+			return ExchangeEnd.Cut;
+		}
+
+		if (this.#isStray) {
+			return ExchangeEnd.Stray;
+		}
+
+		return this.#wasSent ? ExchangeEnd.Broken : ExchangeEnd.Unreachable;
+	}
+
+	#finish(end: ExchangeEnd, message: string, isReusable: boolean): void {
+		if (this.#isOver) {
+			return;
+		}
+
+		this.#isOver = true;
+		const saysNotRun = end === ExchangeEnd.Answered && this.#head?.signs.isNotRun === true;
+		this.#resolve({
+			end,
+			mayHaveRun: this.#wasSent && !saysNotRun,
+			isReusable,
+			head: this.#head,
+			body: Buffer.concat(this.#chunks),
+			message,
+		});
+	}
+}
+
+function isFramed(method: string, {status, headers}: AnswerHead): boolean {
+	return method === 'HEAD' || BODILESS.has(status) || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
--- /dev/null
+++ b/packages/entry/src/upstream/pool.ts
@@ -0,0 +1,103 @@
+import type {Clock} from '@apricotwood/clock';
+import type {Metrics} from '@apricotwood/telemetry';
+import {Connection} from './connection.js';
+
+/** A connection that was idle for longer may have been forgotten by the worker; requests that may run once do not go there, ms. */
+const RESTED_MAX_MS = 1500;
+/** A worker may still send bytes that belong to no request for this long after an answer, ms. */
+const SETTLE_MS = 30;
+/** After a stray answer, requests that may run once get new connections for this long, ms. */
+const STRAY_CAUTION_MS = 10_000;
+/** Idle connections kept for each worker. */
+const MAX_IDLE = 8;
+
+type WorkerConnections = {
+	readonly idle: Connection[];
+	strayUntilMs: number;
+};
+
+/** Connections to workers, by the worker's id and address. */
+export class ConnectionPool {
+	readonly #workers = new Map<string, WorkerConnections>();
+
+	constructor(private readonly clock: Clock, private readonly metrics: Metrics) {}
+
+	/** @param isCautious for requests that may run once: only a connection that was used a moment ago, or a new one. */
+	acquire(worker: string, address: string, isCautious: boolean): Connection {
+		const connections = this.#of(worker, address);
+		const nowMs = this.clock.monotonic();
+		for (let index = connections.idle.length - 1; index >= 0; index--) {
+			const connection = connections.idle[index]!;
+			if (connection.isClosed) {
+				connections.idle.splice(index, 1);
+				continue;
+			}
+
+			const idleMs = nowMs - connection.idleSinceMs;
+			const isFit = !isCautious || (idleMs >= SETTLE_MS && idleMs <= RESTED_MAX_MS && nowMs >= connections.strayUntilMs);
+			if (isFit && idleMs >= 1) {
+				connections.idle.splice(index, 1);
+				return connection;
+			}
+		}
+
+		this.metrics.count('upstream.connections');
+		return new Connection(address);
+	}
+
+	/** Takes back a connection whose exchange ended as it should. */
+	release(worker: string, address: string, connection: Connection): void {
+		const {idle} = this.#of(worker, address);
+		if (connection.isClosed || idle.length >= MAX_IDLE) {
+			connection.close();
+			return;
+		}
+
+		connection.idleSinceMs = this.clock.monotonic();
+		idle.push(connection);
+	}
+
+	/** The worker sent an answer that belongs to no request. */
+	recordStray(worker: string, address: string): void {
+		const connections = this.#of(worker, address);
+		connections.strayUntilMs = this.clock.monotonic() + STRAY_CAUTION_MS;
+		for (const connection of connections.idle.splice(0)) {
+			connection.close();
+		}
+	}
+
+	/** Closes the idle connections of a worker that is gone. */
+	drop(worker: string): void {
+		for (const [key, {idle}] of this.#workers) {
+			if (!key.startsWith(`${worker} `)) {
+				continue;
+			}
+
+			this.#workers.delete(key);
+			for (const connection of idle) {
+				connection.close();
+			}
+		}
+	}
+
+	close(): void {
+		for (const {idle} of this.#workers.values()) {
+			for (const connection of idle) {
+				connection.close();
+			}
+		}
+
+		this.#workers.clear();
+	}
+
+	#of(worker: string, address: string): WorkerConnections {
+		const key = `${worker} ${address}`;
+		let connections = this.#workers.get(key);
+		if (!connections) {
+			connections = {idle: [], strayUntilMs: 0};
+			this.#workers.set(key, connections);
+		}
+
+		return connections;
+	}
+}
--- a/packages/standin/src/platform.ts
+++ b/packages/standin/src/platform.ts
@@ -5,7 +5,7 @@
 import type {AddressInfo} from 'node:net';
 import {
 	PlatformError, PlatformFault, PlatformPath, createMemoryPlatform, type CommitResult, type ListedHost, type Platform, type Row, type RowWrite, type ScanResult,
-} from '@apricotwood/platform';
+} from '@apricotwood/store';
 import {sleep, type Clock} from '@apricotwood/clock';
 
 /** How the stand-in platform fails; each can be switched while it runs. */
--- /dev/null
+++ b/packages/steering/src/load.ts
@@ -0,0 +1,81 @@
+/** A peer's count of its own running requests, by worker hash. */
+type PeerLoad = {
+	readonly counts: ReadonlyMap<number, number>;
+	readonly atMs: number;
+};
+
+/** A peer's counts are used for this long, ms. */
+const PEER_LOAD_MAX_AGE_MS = 1500;
+/** A worker's own report counts for less the older it is, and for nothing from this age on, ms. */
+const REPORT_MAX_AGE_MS = 800;
+
+type Report = {
+	/** Requests of other hosts at the worker. */
+	readonly others: number;
+	readonly atMs: number;
+};
+
+/**
+ * Requests that run or wait at each worker: this host's own, counted exactly,
+ * and those of its peers as last told. A worker's own report stands in for
+ * peers that cannot be heard. Instants are monotonic ms.
+ */
+export class LoadView {
+	readonly #own = new Map<number, number>();
+	readonly #peers = new Map<string, PeerLoad>();
+	readonly #reports = new Map<number, Report>();
+
+	begin(worker: number): void {
+		this.#own.set(worker, (this.#own.get(worker) ?? 0) + 1);
+	}
+
+	end(worker: number): void {
+		const left = (this.#own.get(worker) ?? 0) - 1;
+		if (left > 0) {
+			this.#own.set(worker, left);
+		} else {
+			this.#own.delete(worker);
+		}
+	}
+
+	own(worker: number): number {
+		return this.#own.get(worker) ?? 0;
+	}
+
+	/** This host's running requests, for its peers. */
+	ownCounts(): ReadonlyMap<number, number> {
+		return this.#own;
+	}
+
+	recordPeer(peer: string, counts: ReadonlyMap<number, number>, atMs: number): void {
+		this.#peers.set(peer, {counts, atMs});
+	}
+
+	/** Counts one request that a peer has begun since its last counts. */
+	forgetPeer(peer: string): void {
+		this.#peers.delete(peer);
+	}
+
+	/** @param total requests at the worker, running and waiting, as it said itself. */
+	recordReport(worker: number, total: number, nowMs: number): void {
+		this.#reports.set(worker, {others: Math.max(0, total - this.own(worker)), atMs: nowMs});
+	}
+
+	/** Requests at a worker, of all hosts, as well as this host knows. */
+	total(worker: number, nowMs: number): number {
+		let others = 0;
+		for (const {counts, atMs} of this.#peers.values()) {
+			if (nowMs - atMs < PEER_LOAD_MAX_AGE_MS) {
+				others += counts.get(worker) ?? 0;
+			}
+		}
+
+		const report = this.#reports.get(worker);
+		if (report && this.#peers.size === 0) {
+			const trust = Math.max(0, 1 - ((nowMs - report.atMs) / REPORT_MAX_AGE_MS));
+			others = Math.max(others, report.others * trust);
+		}
+
+		return this.own(worker) + others;
+	}
+}
--- a/test/faults/stops.test.ts
+++ b/test/faults/stops.test.ts
@@ -2,7 +2,7 @@
 import {once} from 'node:events';
 import {request, type ClientRequest, type IncomingMessage} from 'node:http';
 import {test} from 'node:test';
-import {ListedState} from '@apricotwood/platform';
+import {ListedState} from '@apricotwood/store';
 import {Rig, call, until, type RigOptions} from '../fixtures/rig.js';
 
 const HALF = 'x'.repeat(50_000);
--- a/test/hosts/several.test.ts
+++ b/test/hosts/several.test.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {ListedState} from '@apricotwood/platform';
+import {ListedState} from '@apricotwood/store';
 import {
 	Rig, call, until, type Answer, type RigOptions,
 } from '../fixtures/rig.js';
--- a/test/ledger/world.ts
+++ b/test/ledger/world.ts
@@ -6,7 +6,7 @@
 import {Holdings, type Holding} from '@apricotwood/ledger';
 import {
 	MemoryTable, PlatformError, PlatformFault, type CommitResult, type RowWrite, type ScanResult, type Table,
-} from '@apricotwood/platform';
+} from '@apricotwood/store';
 
 /** A mechanism that is left out on purpose, to show that the check notices. */
 export enum Mutation {
--- a/test/platform/contract.test.ts
+++ b/test/store/contract.test.ts
@@ -3,7 +3,7 @@
 import {FakeClock, SystemClock} from '@apricotwood/clock';
 import {
 	BreakerState, HttpPlatform, ListedState, PlatformError, PlatformGuard, createMemoryPlatform, Breaker, type Platform,
-} from '@apricotwood/platform';
+} from '@apricotwood/store';
 import {FaultyPlatform, PlatformServer} from '@apricotwood/standin';
 
 type Subject = {
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,7 +1,7 @@
 /** @type {import('xo').FlatXoConfig} */
 export default [
 	{
-		ignores: ['**/dist/**', 'bench-results/**'],
+		ignores: ['**/dist/**', 'bench-results/**', 'target/**', 'journal/**'],
 	},
 	{
 		rules: {
