--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -25,6 +25,8 @@
 /** Part of the time left that a caller waits before it comes back, as callers do at most. */
 const MAX_RETURN_PART = 1 / 3;
 const RETURN_SPREAD = 0.5;
+/** Return of a caller whose request a worker with room would not take, ms. */
+const SHED_RETURN_MS = 50;
 const FIRST_ERROR_STATUS = 500;
 const REJECTIONS: Partial<Record<PlacementReason, Code>> = {[PlacementReason.Late]: Code.Late, [PlacementReason.Full]: Code.Full};
 /** Statuses that promise that the request has not run. */
@@ -44,6 +46,9 @@
 export class Session implements AnswerSink {
 	readonly #startMs: number;
 	readonly #endAtMs: number;
+	/** Monotonic ms until which the answer has its full value. */
+	readonly #aimAtMs: number;
+	/** Monotonic ms until which an answer is tried for. */
 	readonly #targetAtMs: number;
 	readonly #isReturning: boolean;
 	readonly #service: string;
@@ -70,7 +75,9 @@
 		this.#endAtMs = this.#startMs + Math.min(callerMs, route.timeoutMs);
 		const goneMs = signs.waitsMs === undefined ? 0 : patience.spent(route.name, signs.waitsMs);
 		this.#isReturning = goneMs > 0;
-		this.#targetAtMs = this.#startMs + route.targetMs - goneMs;
+		this.#aimAtMs = this.#startMs + route.targetMs - goneMs;
+		// A caller that comes back is not sent away again for being late: it may not come a third time.
+		this.#targetAtMs = this.#isReturning ? this.#endAtMs : this.#aimAtMs;
 		this.#salt = Math.floor(random.next() * (2 ** 32));
 		this.#service = split.choose(route, signs.object, random.next());
 		this.#object = route.hasAffinity && signs.object !== undefined ? hashText(signs.object, hashText(this.#service)) : undefined;
@@ -149,7 +156,10 @@
 				return failure;
 			}
 
-			this.#avoid.add(worker.entry.id);
+			const hadRoom = result.head?.signs.isNotRun === true && !result.head.signs.isOtherWorker && placement.load < worker.entry.slots;
+			if (!hadRoom) {
+				this.#avoid.add(worker.entry.id);
+			}
 		}
 
 		return failure;
@@ -170,7 +180,7 @@
 		}
 
 		const waiter: Waiter<() => void> = {
-			item: () => this.#wake?.(), priority: this.route.priority, targetAtMs: this.#targetAtMs, isReturning: this.#isReturning,
+			item: () => this.#wake?.(), priority: this.route.priority, targetAtMs: this.#aimAtMs, isReturning: this.#isReturning,
 		};
 		waiting.add(waiter);
 		while (placement.verdict === Verdict.Wait && !this.#hasLeft) {
@@ -217,7 +227,7 @@
 		}
 
 		const isWarm = placement.isWarm || !this.route.hasAffinity;
-		const run = {worker: hash, startMs, expectedMs: this.#expectedMs(isWarm)};
+		const run = {worker: hash, startMs, expectedMs: this.#expectedMs(isWarm) + placement.waitMs};
 		running.add(run);
 		const timer = clock.after(Math.max(1, this.#leftMs) + LAST_WORD_MS, () => {
 			note.end = 'timeout';
@@ -237,7 +247,7 @@
 		note.ms = Math.round(clock.monotonic() - startMs);
 		note.end ??= result.end === ExchangeEnd.Answered ? String(result.head?.status) : result.end;
 		this.#mayHaveRun ||= result.mayHaveRun;
-		this.#learn(entry.id, entry.address, hash, isWarm, result, note, run.startMs);
+		this.#learn(entry.id, entry.address, hash, placement, result, note);
 		this.parts.onRoom();
 		return result;
 	}
@@ -261,7 +271,7 @@
 	}
 
 	/** Tells the judge and the measured times how the attempt went. */
-	#learn(worker: string, address: string, hash: number, isWarm: boolean, result: ExchangeResult, note: AttemptNote, startMs: number): void {
+	#learn(worker: string, address: string, hash: number, {isWarm, waitMs}: Placement, result: ExchangeResult, note: AttemptNote): void {
 		const {judge, times, load, pool, clock} = this.parts;
 		const nowMs = clock.monotonic();
 		const reported = result.head?.signs.load;
@@ -275,7 +285,7 @@
 				const sign = signOf(result.head!);
 				judge.sign(hash, sign, nowMs);
 				if (sign === AttemptSign.Good) {
-					times.record(this.route, this.#service, hash, isWarm, nowMs - startMs, nowMs);
+					times.record(this.route, this.#service, hash, isWarm, Math.max(1, note.ms! - waitMs), nowMs);
 				}
 
 				break;
@@ -352,11 +362,12 @@
 			return unknownOutcome(isTimeout ? Code.Timeout : Code.Unknown, message === '' ? `the worker answered ${head?.status}` : message);
 		}
 
-		return notRun(end === ExchangeEnd.Unreachable ? Code.Unreachable : Code.Shed, 'no worker has run the request', this.#returnAfterMs(100));
+		return notRun(end === ExchangeEnd.Unreachable ? Code.Unreachable : Code.Shed, 'no worker has run the request', this.#returnAfterMs(SHED_RETURN_MS));
 	}
 
-	#rejectionOf({reason, roomInMs}: Placement): Rejection {
-		return notRun(REJECTIONS[reason] ?? Code.NoWorker, `no room: ${reason}`, this.#returnAfterMs(roomInMs));
+	#rejectionOf({reason, roomInMs, load, waitMs, workMs}: Placement): Rejection {
+		const message = `no room (${reason}): ${load} requests at the worker, ${Math.round(waitMs)} ms to wait, ${Math.round(workMs)} ms of work`;
+		return notRun(REJECTIONS[reason] ?? Code.NoWorker, message, this.#returnAfterMs(roomInMs));
 	}
 
 	/** Spreads those that come back over the time in which room is expected. */
@@ -400,7 +411,7 @@
 			status: this.res.statusCode,
 			ms,
 			waitedMs: Math.round(this.#waitedMs),
-			targetLeftMs: Math.round(this.#targetAtMs - clock.monotonic()),
+			targetLeftMs: Math.round(this.#aimAtMs - clock.monotonic()),
 			attempts: this.#notes,
 			message: rejection?.message,
 		});
--- a/packages/entry/src/upstream/connection.ts
+++ b/packages/entry/src/upstream/connection.ts
@@ -14,6 +14,7 @@
 export class Connection {
 	readonly client: Client;
 	#wasReset = false;
+	#hasEnded = false;
 	#isClosed = false;
 	/** Monotonic ms at which it was last given back. */
 	idleSinceMs = 0;
@@ -47,6 +48,11 @@
 		return this.#wasReset;
 	}
 
+	/** Whether the worker has closed its side. */
+	get hasEnded(): boolean {
+		return this.#hasEnded;
+	}
+
 	get isClosed(): boolean {
 		return this.#isClosed;
 	}
@@ -58,11 +64,14 @@
 		});
 	}
 
-	/** Listens before the client does, which takes a reset for the end of an answer without a length. */
+	/** Listens before the client does, which takes the end of a connection that is not kept for the end of any answer on it. */
 	#watch(socket: Socket): void {
 		socket.on('error', () => {
 			this.#wasReset = true;
 		});
+		socket.on('end', () => {
+			this.#hasEnded = true;
+		});
 		socket.on('close', hadError => {
 			this.#wasReset ||= hadError;
 			this.#isClosed = true;
--- a/packages/entry/src/upstream/exchange.ts
+++ b/packages/entry/src/upstream/exchange.ts
@@ -159,9 +159,8 @@
 
 	onResponseEnd(): void {
 		const isUnframed = this.#head !== undefined && !isFramed(this.request.method, this.#head);
-		// The end of an answer without a length is the end of its connection; a reset is delivered to our listener first.
-		if (isUnframed && this.connection.wasReset) {
-			this.#finish(this.#isStreaming ? ExchangeEnd.Cut : ExchangeEnd.Broken, 'the connection was reset before the end of the answer', false);
+		if (this.connection.wasReset || (this.connection.hasEnded && !isUnframed)) {
+			this.#finish(this.#isStreaming ? ExchangeEnd.Cut : ExchangeEnd.Broken, 'the connection ended before the answer', false);
 			return;
 		}
 
--- a/packages/steering/src/judge.ts
+++ b/packages/steering/src/judge.ts
@@ -3,7 +3,7 @@
 	Good = 'good',
 	/** The worker failed the request, or spoilt or lost its answer. */
 	Failed = 'failed',
-	/** The worker would not take the request. */
+	/** The worker would not take the request. It may shed part of its requests while it has room, so it gets others. */
 	Shed = 'shed',
 	/** No connection, or it broke before an answer. */
 	Unreachable = 'unreachable',
@@ -25,13 +25,12 @@
 
 const SMOOTHING = 0.2;
 /** A worker that fails more than this part of its attempts rests. */
-const FAILING_BOUND = 0.35;
+const FAILING_BOUND = 0.8;
 const MIN_ATTEMPTS = 4;
 /** Rest of a worker that fails a part of its attempts, ms. */
 const FAILING_REST_MS = 1500;
 const FIRST_STRIKE_REST_MS = 400;
 const MAX_STRIKE_REST_MS = 3000;
-const SHED_REST_MS = 60;
 
 /**
  * Judges workers by their answers, not by their status checks: a worker may
@@ -58,8 +57,7 @@
 			}
 
 			case AttemptSign.Shed: {
-				rest(record, SHED_REST_MS, nowMs);
-				this.#recordFailure(record, nowMs);
+				record.failing += (1 - record.failing) * SMOOTHING;
 				break;
 			}
 
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -1,7 +1,7 @@
 import {mixHashes} from '@apricotwood/blocks';
 import {toUnit} from '@apricotwood/routing';
 import type {ColdLimit} from './cold.js';
-import type {Route} from './config.js';
+import {RequestKind, type Route} from './config.js';
 import type {Fleet, Worker} from './fleet.js';
 import type {WorkerJudge} from './judge.js';
 import type {LoadView} from './load.js';
@@ -33,9 +33,14 @@
 
 /** Why a request was placed, or not. */
 export enum PlacementReason {
+	/** At a worker where the object is warm, in time. */
+	Warm = 'warm',
+	/** No worker knows the object yet. */
+	FirstCopy = 'first-copy',
+	/** The workers that know the object are full. */
+	NewCopy = 'new-copy',
+	/** Late, but a slot is free. */
 	FreeSlot = 'free-slot',
-	/** No slot is free, but the answer is expected in time. */
-	ShortQueue = 'short-queue',
 	ColdTurn = 'cold-turn',
 	NoWorker = 'no-worker',
 	AllCold = 'all-cold',
@@ -49,8 +54,12 @@
 	/** Set when the verdict is to send. */
 	readonly worker: Worker | undefined;
 	readonly isWarm: boolean;
-	/** Requests at the worker as this host knows. */
+	/** Requests at the worker that was looked at last, as this host knows. */
 	readonly load: number;
+	/** Its expected wait, ms. */
+	readonly waitMs: number;
+	/** Its expected work, ms. */
+	readonly workMs: number;
 	/** When room is expected, ms from now. */
 	readonly roomInMs: number;
 };
@@ -58,8 +67,12 @@
 export type PlacerOptions = {
 	/** Region of this host. */
 	readonly region: string;
-	/** Workers that an object may be sent to while they are usable. @default 2 */
+	/** Most workers that an object is sent to while they are usable. @default 4 */
 	readonly copies?: number;
+	/** How much more likely an object's workers lie in this region than elsewhere. @default 4 */
+	readonly nearness?: number;
+	/** The same for uploads, whose bytes are many. @default 24 */
+	readonly uploadNearness?: number;
 	/** Added for a worker in another region, ms. @default 20 */
 	readonly farMs?: number;
 };
@@ -77,10 +90,16 @@
 	readonly warmupPerSecond: (service: string) => number | undefined;
 };
 
-const DEFAULT_COPIES = 2;
+const DEFAULT_COPIES = 4;
+const DEFAULT_NEARNESS = 4;
+const DEFAULT_UPLOAD_NEARNESS = 24;
 const DEFAULT_FAR_MS = 20;
 /** Requests at a worker, running and waiting, relative to its slots. */
 const MAX_QUEUE_FACTOR = 2;
+/** A worker gets a new object only while its load is below this part of its slots, */
+const NEW_COPY_LOAD = 0.75;
+/** and the service's load below this part of all slots: work at a new worker takes longer, which an overload does not bear. */
+const NEW_COPY_SERVICE_LOAD = 0.85;
 /** Shortest time after which room is said to be expected, ms. */
 const MIN_ROOM_MS = 50;
 /** Room at a service without usable workers, ms. */
@@ -92,6 +111,8 @@
 	readonly load: number;
 	readonly waitMs: number;
 	readonly workMs: number;
+	readonly isInTime: boolean;
+	/** Expected time with what a failing worker adds to it, ms. */
 	readonly cost: number;
 };
 
@@ -100,10 +121,10 @@
  *
  * Answers work that takes three times as long at a worker that has not handled
  * the object lately, at a load that the workers bear only when most work is
- * warm: an object goes to few workers, the same ones from every host, and the
- * one with the shorter expected time gets it. A third worker would take the
- * overload of two at three times the cost, so full workers make requests wait
- * while they can still be answered in time, and are not passed over.
+ * warm. Every host ranks the workers of an object alike. The object goes to the
+ * first one until that is full, then the next one learns it: the copies follow
+ * the demand, and where no worker has time for a new object the request waits
+ * or is rejected instead of making the overload worse.
  */
 export class Placer {
 	readonly #copies: number;
@@ -122,15 +143,19 @@
 			return this.#placeCold(req, open, nowMs);
 		}
 
-		let best: Estimate | undefined;
-		for (const worker of this.#candidates(req, warmed)) {
-			const estimate = this.#estimate(req, worker, nowMs);
-			if (!best || estimate.cost < best.cost) {
-				best = estimate;
-			}
+		const estimates = this.#rank(req, warmed).map(worker => this.#estimate(req, worker, nowMs));
+		const warm = cheapest(estimates.filter(({isWarm}) => isWarm));
+		if (warm?.isInTime && hasRoom(warm, MAX_QUEUE_FACTOR)) {
+			return send(warm, PlacementReason.Warm);
+		}
+
+		const fresh = this.#findFresh(req, estimates, warm, warmed, nowMs);
+		if (fresh) {
+			return send(fresh, warm ? PlacementReason.NewCopy : PlacementReason.FirstCopy);
 		}
 
-		return this.#judge(req, best!, nowMs);
+		const best = warm ?? cheapest(estimates)!;
+		return hasRoom(best, 1) ? send(best, PlacementReason.FreeSlot) : waitOrReject(best, req, nowMs);
 	}
 
 	#openWorkers({service, route, avoid}: PlacementRequest, nowMs: number): Worker[] {
@@ -142,69 +167,125 @@
 			&& judge.isTrusted(worker.hash, nowMs));
 	}
 
-	/** The first workers by weighted rendezvous hashing; every host finds the same ones. */
-	#candidates({object, salt}: PlacementRequest, workers: readonly Worker[]): Worker[] {
-		const scored = workers.map(worker => ({
-			worker,
-			score: -worker.entry.slots / Math.log(toUnit(mixHashes(object ?? salt, worker.hash))),
-		}));
+	/** The first workers by weighted rendezvous hashing; all hosts of a region find the same ones. */
+	#rank({object, salt, service, route}: PlacementRequest, workers: readonly Worker[]): Worker[] {
+		const nearness = this.#nearness(service, route.kind);
+		const scored = workers.map(worker => {
+			const weight = worker.entry.slots * (worker.region === this.options.region ? nearness : 1);
+			return {worker, score: -weight / Math.log(toUnit(mixHashes(object ?? salt, worker.hash)))};
+		});
 		scored.sort((a, b) => b.score - a.score);
 		return scored.slice(0, this.#copies).map(({worker}) => worker);
 	}
 
-	#estimate({route, service, object}: PlacementRequest, worker: Worker, nowMs: number): Estimate {
-		const {load, warm, times, judge} = this.parts;
-		const {warmMs, coldMs} = times.expect(route, service);
-		const isWarm = !route.hasAffinity || object === undefined || warm.isWarm(worker.hash, object);
-		const slowness = times.slowness(worker.hash, nowMs);
-		const total = load.total(worker.hash, nowMs);
-		const {slots} = worker.entry;
-		const waitMs = Math.max(0, total + 1 - slots) * warmMs * slowness / slots;
-		const workMs = (isWarm ? warmMs : coldMs) * slowness;
-		const far = worker.region === this.options.region ? 0 : this.#farMs;
-		// Cold work also takes a slot from others for longer.
-		const burden = isWarm ? 0 : coldMs - warmMs;
-		const doubt = judge.failing(worker.hash) * coldMs;
-		return {worker, isWarm, load: total, waitMs, workMs: workMs + far, cost: waitMs + workMs + far + burden + doubt + (total / slots * warmMs * 0.1)};
+	/** Weight of a worker of this region against one elsewhere; less where the region has less than its part of the slots. */
+	#nearness(service: string, kind: RequestKind): number {
+		const whole = kind === RequestKind.Upload ? this.options.uploadNearness ?? DEFAULT_UPLOAD_NEARNESS : this.options.nearness ?? DEFAULT_NEARNESS;
+		let slots = 0;
+		let nearSlots = 0;
+		const regions = new Set<string>();
+		for (const {entry, region} of this.parts.fleet.ofService(service)) {
+			slots += entry.slots;
+			nearSlots += region === this.options.region ? entry.slots : 0;
+			regions.add(region);
+		}
+
+		return Math.max(1, whole * Math.min(1, nearSlots * regions.size / Math.max(1, slots)));
 	}
 
-	#judge({targetAtMs, endAtMs}: PlacementRequest, best: Estimate, nowMs: number): Placement {
-		const {slots} = best.worker.entry;
-		const inTime = nowMs + best.waitMs + best.workMs <= targetAtMs;
-		const told = {worker: best.worker, isWarm: best.isWarm, load: best.load, roomInMs: Math.max(MIN_ROOM_MS, best.waitMs)};
-		if (best.load < slots) {
-			return {...told, verdict: Verdict.Send, reason: PlacementReason.FreeSlot};
+	/** The first worker in rank that may learn the object. */
+	#findFresh({service}: PlacementRequest, estimates: readonly Estimate[], warm: Estimate | undefined, workers: readonly Worker[], nowMs: number): Estimate | undefined {
+		const cold = estimates.filter(({isWarm}) => !isWarm);
+		if (!warm) {
+			return cold.find(estimate => hasRoom(estimate, 1));
 		}
 
-		if (inTime && best.load < slots * MAX_QUEUE_FACTOR) {
-			return {...told, verdict: Verdict.Send, reason: PlacementReason.ShortQueue};
-		}
+		const fresh = cold.find(estimate => hasRoom(estimate, NEW_COPY_LOAD));
+		return fresh && this.#serviceLoad(workers, nowMs) < NEW_COPY_SERVICE_LOAD ? fresh : undefined;
+	}
 
-		const latestStartMs = Math.min(targetAtMs, endAtMs) - best.workMs;
-		if (nowMs < latestStartMs && inTime) {
-			return {...told, worker: undefined, verdict: Verdict.Wait, reason: PlacementReason.Full};
+	#serviceLoad(workers: readonly Worker[], nowMs: number): number {
+		let load = 0;
+		let slots = 0;
+		for (const {hash, entry} of workers) {
+			load += Math.min(entry.slots, this.parts.load.total(hash, nowMs));
+			slots += entry.slots;
 		}
 
-		return {...told, worker: undefined, verdict: Verdict.Reject, reason: nowMs < latestStartMs ? PlacementReason.Full : PlacementReason.Late};
+		return load / Math.max(1, slots);
+	}
+
+	#estimate({route, service, object, targetAtMs}: PlacementRequest, worker: Worker, nowMs: number): Estimate {
+		const {load, warm, times, judge} = this.parts;
+		const {warmMs, coldMs} = times.expect(route, service);
+		const isWarm = !route.hasAffinity || object === undefined || warm.isWarm(worker.hash, object);
+		const slowness = times.slowness(worker.hash, nowMs);
+		const total = load.total(worker.hash, nowMs);
+		const waitMs = Math.max(0, total + 1 - worker.entry.slots) * warmMs * slowness / worker.entry.slots;
+		const far = worker.region === this.options.region ? 0 : this.#farMs;
+		const workMs = ((isWarm ? warmMs : coldMs) * slowness) + far;
+		const doubtMs = judge.failing(worker.hash) * coldMs;
+		return {
+			worker, isWarm, load: total, waitMs, workMs, isInTime: nowMs + waitMs + workMs <= targetAtMs, cost: waitMs + workMs + doubtMs,
+		};
 	}
 
 	/** Only cold workers, or none, are left. */
 	#placeCold(req: PlacementRequest, open: readonly Worker[], nowMs: number): Placement {
-		const none = {worker: undefined, isWarm: false, load: 0, roomInMs: NO_WORKER_ROOM_MS};
+		const none = {
+			worker: undefined, isWarm: false, load: 0, waitMs: 0, workMs: 0, roomInMs: NO_WORKER_ROOM_MS,
+		};
 		if (open.length === 0) {
 			return {...none, verdict: Verdict.Reject, reason: PlacementReason.NoWorker};
 		}
 
 		const {cold, hosts, warmupPerSecond} = this.parts;
 		const perSecond = warmupPerSecond(req.service);
-		for (const worker of this.#candidates({...req, object: req.salt}, open)) {
+		for (const worker of this.#rank(req, open)) {
 			const load = this.parts.load.total(worker.hash, nowMs);
 			if (load < worker.entry.slots && cold.mayTake(worker, perSecond, hosts(), nowMs)) {
 				cold.take(worker, perSecond, hosts(), nowMs);
-				return {verdict: Verdict.Send, reason: PlacementReason.ColdTurn, worker, isWarm: false, load, roomInMs: 0};
+				return {
+					...none, verdict: Verdict.Send, reason: PlacementReason.ColdTurn, worker, load,
+				};
 			}
 		}
 
 		return {...none, verdict: Verdict.Reject, reason: PlacementReason.AllCold};
 	}
 }
+
+function cheapest(estimates: readonly Estimate[]): Estimate | undefined {
+	let best: Estimate | undefined;
+	for (const estimate of estimates) {
+		if (!best || estimate.cost < best.cost) {
+			best = estimate;
+		}
+	}
+
+	return best;
+}
+
+function hasRoom({load, worker}: Estimate, factor: number): boolean {
+	return load < worker.entry.slots * factor;
+}
+
+function send({worker, isWarm, load, waitMs, workMs}: Estimate, reason: PlacementReason): Placement {
+	return {
+		verdict: Verdict.Send, reason, worker, isWarm, load, waitMs, workMs, roomInMs: 0,
+	};
+}
+
+function waitOrReject({isWarm, load, waitMs, workMs}: Estimate, {targetAtMs, endAtMs}: PlacementRequest, nowMs: number): Placement {
+	const isLate = nowMs + workMs > Math.min(targetAtMs, endAtMs);
+	return {
+		verdict: isLate ? Verdict.Reject : Verdict.Wait,
+		reason: isLate ? PlacementReason.Late : PlacementReason.Full,
+		worker: undefined,
+		isWarm,
+		load,
+		waitMs,
+		workMs,
+		roomInMs: Math.max(MIN_ROOM_MS, waitMs),
+	};
+}
--- a/packages/steering/src/repeats.ts
+++ b/packages/steering/src/repeats.ts
@@ -8,7 +8,7 @@
 };
 
 /** Part of the shared bound that hosts use, so that the windows' edges and late arrivals stay inside it. */
-const SAFETY = 0.6;
+const SAFETY = 0.85;
 const BUCKETS = 10;
 
 type Tally = {
