--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -3,7 +3,7 @@
 } from '@apricotwood/clock';
 import {hashText} from '@apricotwood/routing';
 import {
-	ColdLimit, LoadView, Placer, RepeatBudget, ServiceSplit, ServiceTimes, WaitingList, WarmObjects, WorkerJudge, type RepeatBounds,
+	ColdLimit, Distances, LoadView, Placer, RepeatBudget, ServiceSplit, ServiceTimes, WaitingList, WarmObjects, WorkerJudge, type RepeatBounds,
 } from '@apricotwood/steering';
 import {Supervisor} from '@apricotwood/supervisor';
 import type {Log, Metrics} from '@apricotwood/telemetry';
@@ -32,8 +32,6 @@
 	readonly seeds: readonly string[];
 	/** Time from a stop signal to the end of the process, ms. */
 	readonly graceMs: number;
-	/** Objects that a worker is taken to remember. @default 24 */
-	readonly warmObjects?: number;
 };
 
 export type EntryDeps = {
@@ -46,7 +44,6 @@
 	readonly dialect: Dialect;
 };
 
-const DEFAULT_WARM_OBJECTS = 24;
 const MAX_WAITING = 300;
 /** How often waiting requests are tried again without a sign of room, ms. */
 const PUMP_MS = 25;
@@ -58,6 +55,8 @@
 /** Kept back from the grace for the very end, ms. */
 const END_MARGIN_MS = 300;
 const DRAIN_STEP_MS = 25;
+/** Span between two lines on what the host believes, ms. */
+const REPORT_MS = 5000;
 
 /** An entry host: takes callers' requests and places them on the workers that all hosts share. */
 export class EntryHost {
@@ -72,16 +71,21 @@
 	readonly #pool: ConnectionPool;
 	readonly #judge = new WorkerJudge();
 	readonly #times = new ServiceTimes();
-	readonly #warm: WarmObjects;
+	readonly #warm = new WarmObjects();
 	readonly #waiting = new WaitingList<() => void>(MAX_WAITING);
 	readonly #running = new Set<RunningAttempt>();
 
 	constructor(private readonly deps: EntryDeps) {
 		const {settings, clock, random, log, metrics, source, dialect} = deps;
 		const {self} = settings;
+		const distances = new Distances();
 		this.members = new Members(self);
-		this.#warm = new WarmObjects(settings.warmObjects ?? DEFAULT_WARM_OBJECTS);
-		this.#pool = new ConnectionPool(clock, metrics);
+		this.#pool = new ConnectionPool(clock, metrics, (worker, spanMs) => {
+			const region = this.state.fleet.get(worker)?.region;
+			if (region !== undefined) {
+				distances.record(region, spanMs);
+			}
+		});
 		this.state = new SharedState(clock, log, {
 			onWorkerStart: id => {
 				this.#forgetWorker(id);
@@ -98,6 +102,7 @@
 			warm: this.#warm,
 			times: this.#times,
 			judge: this.#judge,
+			distances,
 			cold: new ColdLimit(hashText(self.id)),
 			hosts,
 			warmupPerSecond: service => this.state.table?.service(service)?.warmupPerSecond,
@@ -114,6 +119,7 @@
 			warm: this.#warm,
 			times: this.#times,
 			judge: this.#judge,
+			distances,
 			repeats: new RepeatBudget(settings.repeats),
 			split: new ServiceSplit(),
 			patience: new Patience(),
@@ -122,6 +128,7 @@
 			maxBodyBytes: () => this.state.table?.config.limits.maxBodyBytes ?? 0,
 			hosts,
 			version: () => this.state.table?.version,
+			isLeaving: () => this.life.phase === HostPhase.Leaving || this.life.phase === HostPhase.Closing,
 			onSent: (worker, object) => {
 				this.#beats.recordSent(worker, object);
 			},
@@ -203,6 +210,7 @@
 			{name: 'join', run: async inner => this.#join(inner)},
 			{name: 'follow', run: async inner => this.#follower.run(inner)},
 			{name: 'checks', run: async inner => this.#checks.run(inner)},
+			{name: 'report', run: async inner => this.#reportOn(inner)},
 			{name: 'pump', run: async inner => this.#pumpOn(inner)},
 		], stop.signal);
 		const leave = this.#leaveOn(signal);
@@ -260,7 +268,6 @@
 		});
 		const startMs = clock.monotonic();
 		this.life.send(HostEvent.Leave);
-		this.#ingress.leave();
 		this.#beats.send();
 		log.info({event: 'leaving', running: this.#ingress.running});
 		await sleep(clock, Math.min(LEAVE_MS, settings.graceMs / 1.7));
@@ -283,6 +290,26 @@
 		}
 	}
 
+	/** Logs what this host believes, for those who read the log afterwards. */
+	async #reportOn(signal: AbortSignal): Promise<void> {
+		const {clock, log} = this.deps;
+		while (!signal.aborted) {
+			await sleep(clock, REPORT_MS, signal); // eslint-disable-line no-await-in-loop
+			const nowMs = clock.monotonic();
+			log.info({
+				event: 'beliefs',
+				hosts: this.members.count,
+				ready: this.members.ready(nowMs).map(({entry}) => entry.id),
+				reads: this.members.rank(nowMs, this.#follower.isFailing) === 0,
+				ageMs: Math.round(this.state.ageMs()),
+				waiting: this.#waiting.size,
+				running: this.#running.size,
+				memory: this.#warm.capacities(),
+				times: this.#times.all(),
+			});
+		}
+	}
+
 	/** Tries waiting requests again, the most urgent first. */
 	#pump(): void {
 		if (this.#waiting.size === 0) {
--- a/packages/entry/src/request/ingress.ts
+++ b/packages/entry/src/request/ingress.ts
@@ -20,7 +20,6 @@
 export class Ingress {
 	readonly #server: Server;
 	#running = 0;
-	#isLeaving = false;
 
 	constructor(private readonly state: SharedState, private readonly parts: SessionParts) {
 		this.#server = createServer({maxHeaderSize: PARSER_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: 1000}, (req, res) => {
@@ -52,11 +51,6 @@
 		});
 	}
 
-	/** Asks callers to go elsewhere with their next request; goes on serving. */
-	leave(): void {
-		this.#isLeaving = true;
-	}
-
 	/** Takes no new connections; requests in flight go on. */
 	close(): void {
 		this.#server.close();
@@ -70,7 +64,7 @@
 	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		this.#running++;
 		try {
-			if (this.#isLeaving) {
+			if (this.parts.isLeaving()) {
 				res.setHeader('connection', 'close');
 			}
 
--- a/packages/entry/src/request/parts.ts
+++ b/packages/entry/src/request/parts.ts
@@ -1,6 +1,6 @@
 import type {Clock, Random} from '@apricotwood/clock';
 import type {
-	LoadView, Placer, RepeatBudget, ServiceSplit, ServiceTimes, WaitingList, WarmObjects, WorkerJudge,
+	Distances, LoadView, Placer, RepeatBudget, ServiceSplit, ServiceTimes, WaitingList, WarmObjects, WorkerJudge,
 } from '@apricotwood/steering';
 import type {Log, Metrics} from '@apricotwood/telemetry';
 import type {Dialect} from '../dialect.js';
@@ -28,6 +28,7 @@
 	readonly warm: WarmObjects;
 	readonly times: ServiceTimes;
 	readonly judge: WorkerJudge;
+	readonly distances: Distances;
 	readonly repeats: RepeatBudget;
 	readonly split: ServiceSplit;
 	readonly patience: Patience;
@@ -38,6 +39,8 @@
 	readonly hosts: () => number;
 	/** Version of the configuration in force, for the log. */
 	readonly version: () => number | undefined;
+	/** Whether callers are being led to other hosts. */
+	readonly isLeaving: () => boolean;
 	/** Called when a request about an object goes to a worker. */
 	readonly onSent: (worker: number, object: number) => void;
 	/** Called when a worker may have room. */
--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -3,7 +3,7 @@
 import {Readable} from 'node:stream';
 import {hashText} from '@apricotwood/routing';
 import {
-	AttemptSign, PlacementReason, RequestKind, Verdict, type Placement, type PlacementRequest, type Route, type Waiter, type Worker,
+	AttemptSign, PlacementReason, RequestKind, Verdict, Warmth, type Placement, type PlacementRequest, type Route, type Waiter, type Worker,
 } from '@apricotwood/steering';
 import type {CallerSigns} from '../dialect.js';
 import {
@@ -25,6 +25,8 @@
 /** Part of the time left that a caller waits before it comes back, as callers do at most. */
 const MAX_RETURN_PART = 1 / 3;
 const RETURN_SPREAD = 0.5;
+/** Part of a request's time that it may wait for room. */
+const MAX_WAIT_PART = 0.35;
 /** Return of a caller whose request a worker with room would not take, ms. */
 const SHED_RETURN_MS = 50;
 const FIRST_ERROR_STATUS = 500;
@@ -47,9 +49,8 @@
 	readonly #startMs: number;
 	readonly #endAtMs: number;
 	/** Monotonic ms until which the answer has its full value. */
-	readonly #aimAtMs: number;
-	/** Monotonic ms until which an answer is tried for. */
 	readonly #targetAtMs: number;
+	readonly #waitUntilMs: number;
 	readonly #isReturning: boolean;
 	readonly #service: string;
 	readonly #object: number | undefined;
@@ -75,9 +76,8 @@
 		this.#endAtMs = this.#startMs + Math.min(callerMs, route.timeoutMs);
 		const goneMs = signs.waitsMs === undefined ? 0 : patience.spent(route.name, signs.waitsMs);
 		this.#isReturning = goneMs > 0;
-		this.#aimAtMs = this.#startMs + route.targetMs - goneMs;
-		// A caller that comes back is not sent away again for being late: it may not come a third time.
-		this.#targetAtMs = this.#isReturning ? this.#endAtMs : this.#aimAtMs;
+		this.#targetAtMs = this.#startMs + route.targetMs - goneMs;
+		this.#waitUntilMs = this.#startMs + ((this.#endAtMs - this.#startMs) * MAX_WAIT_PART);
 		this.#salt = Math.floor(random.next() * (2 ** 32));
 		this.#service = split.choose(route, signs.object, random.next());
 		this.#object = route.hasAffinity && signs.object !== undefined ? hashText(signs.object, hashText(this.#service)) : undefined;
@@ -180,7 +180,7 @@
 		}
 
 		const waiter: Waiter<() => void> = {
-			item: () => this.#wake?.(), priority: this.route.priority, targetAtMs: this.#aimAtMs, isReturning: this.#isReturning,
+			item: () => this.#wake?.(), priority: this.route.priority, targetAtMs: this.#targetAtMs, isReturning: this.#isReturning,
 		};
 		waiting.add(waiter);
 		while (placement.verdict === Verdict.Wait && !this.#hasLeft) {
@@ -202,14 +202,22 @@
 
 	#placementRequest(): PlacementRequest {
 		return {
-			route: this.route, service: this.#service, object: this.#object, salt: this.#salt, avoid: this.#avoid, targetAtMs: this.#targetAtMs, endAtMs: this.#endAtMs,
+			route: this.route,
+			service: this.#service,
+			object: this.#object,
+			salt: this.#salt,
+			avoid: this.#avoid,
+			targetAtMs: this.#targetAtMs,
+			endAtMs: this.#endAtMs,
+			isReturning: this.#isReturning,
+			waitUntilMs: this.#waitUntilMs,
 		};
 	}
 
-	async #send({entry, hash}: Worker, placement: Placement, body: ReadBody | undefined): Promise<ExchangeResult> {
+	async #send({entry, hash, region}: Worker, placement: Placement, body: ReadBody | undefined): Promise<ExchangeResult> {
 		const {clock, pool, dialect, load, running, warm, onSent} = this.parts;
 		const startMs = clock.monotonic();
-		const note: AttemptNote = {worker: entry.id, warm: placement.isWarm, load: placement.load, why: placement.reason};
+		const note: AttemptNote = {worker: entry.id, warm: placement.warmth !== Warmth.Cold, load: placement.load, why: placement.reason};
 		this.#notes.push(note);
 		const connection = pool.acquire(entry.id, entry.address, this.route.kind !== RequestKind.Idempotent);
 		const exchange = new Exchange(connection, {
@@ -226,12 +234,21 @@
 			onSent(hash, this.#object);
 		}
 
-		const isWarm = placement.isWarm || !this.route.hasAffinity;
-		const run = {worker: hash, startMs, expectedMs: this.#expectedMs(isWarm) + placement.waitMs};
+		const run = {worker: hash, startMs, expectedMs: this.#expectedMs(note.warm) + placement.waitMs + (2 * this.parts.distances.to(region))};
 		running.add(run);
-		const timer = clock.after(Math.max(1, this.#leftMs) + LAST_WORD_MS, () => {
+		const giveUp = () => {
 			note.end = 'timeout';
 			exchange.cancel();
+		};
+
+		// What has not been sent by its end is not sent any more; a worker that has it gets time for its last word.
+		let timer = clock.after(Math.max(1, this.#leftMs), () => {
+			if (!exchange.wasSent) {
+				giveUp();
+				return;
+			}
+
+			timer = clock.after(LAST_WORD_MS, giveUp);
 		});
 		const result = await exchange.run();
 		timer.cancel();
@@ -247,7 +264,12 @@
 		note.ms = Math.round(clock.monotonic() - startMs);
 		note.end ??= result.end === ExchangeEnd.Answered ? String(result.head?.status) : result.end;
 		this.#mayHaveRun ||= result.mayHaveRun;
-		this.#learn(entry.id, entry.address, hash, placement, result, note);
+		if (result.end === ExchangeEnd.Broken && connection.uses > 1) {
+			pool.recordBroken(entry.id, entry.address);
+		}
+
+		const tripsMs = this.parts.distances.to(region) * (connection.uses > 1 ? 1 : 2);
+		this.#learn(entry.id, entry.address, hash, placement, result, note, tripsMs);
 		this.parts.onRoom();
 		return result;
 	}
@@ -271,8 +293,8 @@
 	}
 
 	/** Tells the judge and the measured times how the attempt went. */
-	#learn(worker: string, address: string, hash: number, {isWarm, waitMs}: Placement, result: ExchangeResult, note: AttemptNote): void {
-		const {judge, times, load, pool, clock} = this.parts;
+	#learn(worker: string, address: string, hash: number, {warmth, distance, waitMs}: Placement, result: ExchangeResult, note: AttemptNote, tripsMs: number): void {
+		const {judge, times, load, pool, clock, warm} = this.parts;
 		const nowMs = clock.monotonic();
 		const reported = result.head?.signs.load;
 		if (reported) {
@@ -285,7 +307,10 @@
 				const sign = signOf(result.head!);
 				judge.sign(hash, sign, nowMs);
 				if (sign === AttemptSign.Good) {
-					times.record(this.route, this.#service, hash, isWarm, Math.max(1, note.ms! - waitMs), nowMs);
+					const wasWarm = times.record(this.route, this.#service, hash, warmth, Math.max(1, note.ms! - tripsMs), waitMs, nowMs);
+					if (wasWarm !== undefined && this.#object !== undefined) {
+						warm.learn(this.#service, distance, wasWarm);
+					}
 				}
 
 				break;
@@ -352,10 +377,17 @@
 
 	#writeHead(head: AnswerHead): void {
 		if (!this.res.destroyed) {
+			this.#closeIfLeaving();
 			this.res.writeHead(head.status, copyAnswerHeaders(head.headers));
 		}
 	}
 
+	#closeIfLeaving(): void {
+		if (this.parts.isLeaving()) {
+			this.res.setHeader('connection', 'close');
+		}
+	}
+
 	#failureOf({end, message, head}: ExchangeResult): Rejection {
 		if (this.#mayHaveRun) {
 			const isTimeout = end === ExchangeEnd.Cancelled || head?.status === 504;
@@ -380,14 +412,15 @@
 	#callerLeft(): void {
 		this.#hasLeft = true;
 		this.#wake?.();
-		// What may not be repeated goes on: its caller may want it to have been done.
-		if (this.route.kind === RequestKind.Idempotent) {
+		// What may not be repeated goes on once it was sent: its caller may want it to have been done.
+		if (this.route.kind === RequestKind.Idempotent || this.#exchange?.wasSent === false) {
 			this.#exchange?.cancel();
 		}
 	}
 
 	#end(rejection: Rejection | undefined): void {
 		if (rejection && !this.#hasLeft) {
+			this.#closeIfLeaving();
 			reject(this.res, rejection);
 		}
 
@@ -411,7 +444,7 @@
 			status: this.res.statusCode,
 			ms,
 			waitedMs: Math.round(this.#waitedMs),
-			targetLeftMs: Math.round(this.#aimAtMs - clock.monotonic()),
+			targetLeftMs: Math.round(this.#targetAtMs - clock.monotonic()),
 			attempts: this.#notes,
 			message: rejection?.message,
 		});
--- a/packages/entry/src/upstream/connection.ts
+++ b/packages/entry/src/upstream/connection.ts
@@ -21,12 +21,15 @@
 	/** Requests that it has carried. */
 	uses = 0;
 
-	constructor(address: string) {
+	/** @param onConnect told of the time that the connection took, ms. */
+	constructor(address: string, onConnect: (spanMs: number) => void = () => {}) {
 		this.client = new Client(`http://${address}`, {
 			connect: (options, callback) => {
+				const startMs = performance.now();
 				connect(options, (...args) => {
 					const [error, socket] = args;
 					if (error === null) {
+						onConnect(performance.now() - startMs);
 						this.#watch(socket);
 					}
 
--- a/packages/entry/src/upstream/pool.ts
+++ b/packages/entry/src/upstream/pool.ts
@@ -3,24 +3,32 @@
 import {Connection} from './connection.js';
 
 /** A connection that was idle for longer may have been forgotten by the worker; requests that may run once do not go there, ms. */
-const RESTED_MAX_MS = 1500;
+const RESTED_MAX_MS = 4000;
+/** The same for a worker that has lately broken a kept connection, ms. */
+const SUSPECT_MAX_MS = 300;
 /** A worker may still send bytes that belong to no request for this long after an answer, ms. */
 const SETTLE_MS = 30;
-/** After a stray answer, requests that may run once get new connections for this long, ms. */
-const STRAY_CAUTION_MS = 10_000;
+/** After a stray answer, or a kept connection that broke, the worker's connections are handled with care for this long, ms. */
+const CAUTION_MS = 10_000;
 /** Idle connections kept for each worker. */
 const MAX_IDLE = 8;
 
 type WorkerConnections = {
 	readonly idle: Connection[];
 	strayUntilMs: number;
+	brokenUntilMs: number;
 };
 
 /** Connections to workers, by the worker's id and address. */
 export class ConnectionPool {
 	readonly #workers = new Map<string, WorkerConnections>();
 
-	constructor(private readonly clock: Clock, private readonly metrics: Metrics) {}
+	/** @param onConnect told of the time that a new connection to a worker took, ms. */
+	constructor(
+		private readonly clock: Clock,
+		private readonly metrics: Metrics,
+		private readonly onConnect: (worker: string, spanMs: number) => void,
+	) {}
 
 	/** @param isCautious for requests that may run once: only a connection that was used a moment ago, or a new one. */
 	acquire(worker: string, address: string, isCautious: boolean): Connection {
@@ -34,7 +42,7 @@
 			}
 
 			const idleMs = nowMs - connection.idleSinceMs;
-			const isFit = !isCautious || (idleMs >= SETTLE_MS && idleMs <= RESTED_MAX_MS && nowMs >= connections.strayUntilMs);
+			const isFit = !isCautious || (idleMs >= SETTLE_MS && idleMs <= (nowMs < connections.brokenUntilMs ? SUSPECT_MAX_MS : RESTED_MAX_MS) && nowMs >= connections.strayUntilMs);
 			if (isFit && idleMs >= 1) {
 				connections.idle.splice(index, 1);
 				return connection;
@@ -42,7 +50,9 @@
 		}
 
 		this.metrics.count('upstream.connections');
-		return new Connection(address);
+		return new Connection(address, spanMs => {
+			this.onConnect(worker, spanMs);
+		});
 	}
 
 	/** Takes back a connection whose exchange ended as it should. */
@@ -60,12 +70,17 @@
 	/** The worker sent an answer that belongs to no request. */
 	recordStray(worker: string, address: string): void {
 		const connections = this.#of(worker, address);
-		connections.strayUntilMs = this.clock.monotonic() + STRAY_CAUTION_MS;
+		connections.strayUntilMs = this.clock.monotonic() + CAUTION_MS;
 		for (const connection of connections.idle.splice(0)) {
 			connection.close();
 		}
 	}
 
+	/** A kept connection broke under a request: the worker may have forgotten it while it was idle. */
+	recordBroken(worker: string, address: string): void {
+		this.#of(worker, address).brokenUntilMs = this.clock.monotonic() + CAUTION_MS;
+	}
+
 	/** Closes the idle connections of a worker that is gone. */
 	drop(worker: string): void {
 		for (const [key, {idle}] of this.#workers) {
@@ -94,7 +109,7 @@
 		const key = `${worker} ${address}`;
 		let connections = this.#workers.get(key);
 		if (!connections) {
-			connections = {idle: [], strayUntilMs: 0};
+			connections = {idle: [], strayUntilMs: 0, brokenUntilMs: 0};
 			this.#workers.set(key, connections);
 		}
 
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -6,9 +6,10 @@
 export {
 	Fleet, WorkerState, type FleetChange, type Worker, type WorkerEntry,
 } from './fleet.js';
-export {WarmObjects} from './warmth.js';
+export {WarmObjects, Warmth} from './warmth.js';
 export {LoadView} from './load.js';
 export {ColdLimit} from './cold.js';
+export {Distances} from './distances.js';
 export {RepeatBudget, type RepeatBounds} from './repeats.js';
 export {ServiceTimes, type WorkTimes} from './times.js';
 export {AttemptSign, WorkerJudge} from './judge.js';
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -2,11 +2,12 @@
 import {toUnit} from '@apricotwood/routing';
 import type {ColdLimit} from './cold.js';
 import {RequestKind, type Route} from './config.js';
+import type {Distances} from './distances.js';
 import type {Fleet, Worker} from './fleet.js';
 import type {WorkerJudge} from './judge.js';
 import type {LoadView} from './load.js';
 import type {ServiceTimes} from './times.js';
-import type {WarmObjects} from './warmth.js';
+import {Warmth, type WarmObjects} from './warmth.js';
 
 /** A request that looks for a worker. */
 export type PlacementRequest = {
@@ -22,6 +23,10 @@
 	readonly targetAtMs: number;
 	/** Monotonic ms at which the request must be answered. */
 	readonly endAtMs: number;
+	/** Whether the caller has been rejected before. */
+	readonly isReturning: boolean;
+	/** Monotonic ms until which the request may wait for room. */
+	readonly waitUntilMs: number;
 };
 
 export enum Verdict {
@@ -39,6 +44,8 @@
 	FirstCopy = 'first-copy',
 	/** The workers that know the object are full. */
 	NewCopy = 'new-copy',
+	/** Late, but the caller comes back and does not come again. */
+	Return = 'return',
 	/** Late, but a slot is free. */
 	FreeSlot = 'free-slot',
 	ColdTurn = 'cold-turn',
@@ -53,12 +60,14 @@
 	readonly reason: PlacementReason;
 	/** Set when the verdict is to send. */
 	readonly worker: Worker | undefined;
-	readonly isWarm: boolean;
+	readonly warmth: Warmth;
+	/** Objects that the worker has handled since this one, before the request; `undefined` when it is not known there. */
+	readonly distance: number | undefined;
 	/** Requests at the worker that was looked at last, as this host knows. */
 	readonly load: number;
 	/** Its expected wait, ms. */
 	readonly waitMs: number;
-	/** Its expected work, ms. */
+	/** Its expected work and the way there and back, ms. */
 	readonly workMs: number;
 	/** When room is expected, ms from now. */
 	readonly roomInMs: number;
@@ -73,8 +82,6 @@
 	readonly nearness?: number;
 	/** The same for uploads, whose bytes are many. @default 24 */
 	readonly uploadNearness?: number;
-	/** Added for a worker in another region, ms. @default 20 */
-	readonly farMs?: number;
 };
 
 export type PlacerParts = {
@@ -84,6 +91,7 @@
 	readonly times: ServiceTimes;
 	readonly judge: WorkerJudge;
 	readonly cold: ColdLimit;
+	readonly distances: Distances;
 	/** Hosts that may send to the same workers, this one included. */
 	readonly hosts: () => number;
 	/** Requests a second that a cold worker of the service tolerates. */
@@ -93,9 +101,10 @@
 const DEFAULT_COPIES = 4;
 const DEFAULT_NEARNESS = 4;
 const DEFAULT_UPLOAD_NEARNESS = 24;
-const DEFAULT_FAR_MS = 20;
-/** Requests at a worker, running and waiting, relative to its slots. */
+/** Requests at a worker, running and waiting, relative to its slots, up to which another one joins that is answered in time. */
 const MAX_QUEUE_FACTOR = 2;
+/** The same for a caller that comes back too late for its target: it gives way to those that are in time, but not wholly. */
+const RETURN_QUEUE_FACTOR = 1.25;
 /** A worker gets a new object only while its load is below this part of its slots, */
 const NEW_COPY_LOAD = 0.75;
 /** and the service's load below this part of all slots: work at a new worker takes longer, which an overload does not bear. */
@@ -107,11 +116,16 @@
 
 type Estimate = {
 	readonly worker: Worker;
+	readonly warmth: Warmth;
+	readonly distance: number | undefined;
 	readonly isWarm: boolean;
 	readonly load: number;
 	readonly waitMs: number;
 	readonly workMs: number;
+	/** Whether the answer is expected before the target, */
 	readonly isInTime: boolean;
+	/** or at least before the end. */
+	readonly isUseful: boolean;
 	/** Expected time with what a failing worker adds to it, ms. */
 	readonly cost: number;
 };
@@ -128,11 +142,9 @@
  */
 export class Placer {
 	readonly #copies: number;
-	readonly #farMs: number;
 
 	constructor(private readonly options: PlacerOptions, private readonly parts: PlacerParts) {
 		this.#copies = options.copies ?? DEFAULT_COPIES;
-		this.#farMs = options.farMs ?? DEFAULT_FAR_MS;
 	}
 
 	/** Decides for now; a verdict to send counts against a cold worker's limit. */
@@ -149,13 +161,17 @@
 			return send(warm, PlacementReason.Warm);
 		}
 
+		if (warm?.isUseful && hasRoom(warm, req.isReturning ? RETURN_QUEUE_FACTOR : 1)) {
+			return send(warm, req.isReturning ? PlacementReason.Return : PlacementReason.FreeSlot);
+		}
+
 		const fresh = this.#findFresh(req, estimates, warm, warmed, nowMs);
 		if (fresh) {
 			return send(fresh, warm ? PlacementReason.NewCopy : PlacementReason.FirstCopy);
 		}
 
 		const best = warm ?? cheapest(estimates)!;
-		return hasRoom(best, 1) ? send(best, PlacementReason.FreeSlot) : waitOrReject(best, req, nowMs);
+		return best.isUseful && hasRoom(best, 1) ? send(best, PlacementReason.FreeSlot) : waitOrReject(best, req, nowMs);
 	}
 
 	#openWorkers({service, route, avoid}: PlacementRequest, nowMs: number): Worker[] {
@@ -195,7 +211,7 @@
 
 	/** The first worker in rank that may learn the object. */
 	#findFresh({service}: PlacementRequest, estimates: readonly Estimate[], warm: Estimate | undefined, workers: readonly Worker[], nowMs: number): Estimate | undefined {
-		const cold = estimates.filter(({isWarm}) => !isWarm);
+		const cold = estimates.filter(({isWarm, isUseful}) => !isWarm && isUseful);
 		if (!warm) {
 			return cold.find(estimate => hasRoom(estimate, 1));
 		}
@@ -215,25 +231,26 @@
 		return load / Math.max(1, slots);
 	}
 
-	#estimate({route, service, object, targetAtMs}: PlacementRequest, worker: Worker, nowMs: number): Estimate {
-		const {load, warm, times, judge} = this.parts;
+	#estimate({route, service, object, targetAtMs, endAtMs}: PlacementRequest, worker: Worker, nowMs: number): Estimate {
+		const {load, warm, times, judge, distances} = this.parts;
 		const {warmMs, coldMs} = times.expect(route, service);
-		const isWarm = !route.hasAffinity || object === undefined || warm.isWarm(worker.hash, object);
+		const distance = object === undefined ? undefined : warm.distance(worker.hash, object);
+		const warmth = object === undefined ? Warmth.Sure : warm.judge(service, distance);
+		const isWarm = warmth !== Warmth.Cold;
 		const slowness = times.slowness(worker.hash, nowMs);
 		const total = load.total(worker.hash, nowMs);
 		const waitMs = Math.max(0, total + 1 - worker.entry.slots) * warmMs * slowness / worker.entry.slots;
-		const far = worker.region === this.options.region ? 0 : this.#farMs;
-		const workMs = ((isWarm ? warmMs : coldMs) * slowness) + far;
+		const workMs = ((isWarm ? warmMs : coldMs) * slowness) + distances.to(worker.region);
 		const doubtMs = judge.failing(worker.hash) * coldMs;
 		return {
-			worker, isWarm, load: total, waitMs, workMs, isInTime: nowMs + waitMs + workMs <= targetAtMs, cost: waitMs + workMs + doubtMs,
+			worker, warmth, distance, isWarm, load: total, waitMs, workMs, isInTime: nowMs + waitMs + workMs <= targetAtMs, isUseful: nowMs + waitMs + workMs <= endAtMs, cost: waitMs + workMs + doubtMs,
 		};
 	}
 
 	/** Only cold workers, or none, are left. */
 	#placeCold(req: PlacementRequest, open: readonly Worker[], nowMs: number): Placement {
 		const none = {
-			worker: undefined, isWarm: false, load: 0, waitMs: 0, workMs: 0, roomInMs: NO_WORKER_ROOM_MS,
+			worker: undefined, warmth: Warmth.Cold, distance: undefined, load: 0, waitMs: 0, workMs: 0, roomInMs: NO_WORKER_ROOM_MS,
 		};
 		if (open.length === 0) {
 			return {...none, verdict: Verdict.Reject, reason: PlacementReason.NoWorker};
@@ -270,19 +287,21 @@
 	return load < worker.entry.slots * factor;
 }
 
-function send({worker, isWarm, load, waitMs, workMs}: Estimate, reason: PlacementReason): Placement {
+function send({worker, warmth, distance, load, waitMs, workMs}: Estimate, reason: PlacementReason): Placement {
 	return {
-		verdict: Verdict.Send, reason, worker, isWarm, load, waitMs, workMs, roomInMs: 0,
+		verdict: Verdict.Send, reason, worker, warmth, distance, load, waitMs, workMs, roomInMs: 0,
 	};
 }
 
-function waitOrReject({isWarm, load, waitMs, workMs}: Estimate, {targetAtMs, endAtMs}: PlacementRequest, nowMs: number): Placement {
-	const isLate = nowMs + workMs > Math.min(targetAtMs, endAtMs);
+function waitOrReject({warmth, distance, load, waitMs, workMs}: Estimate, {targetAtMs, endAtMs, isReturning, waitUntilMs}: PlacementRequest, nowMs: number): Placement {
+	const lastMs = isReturning ? endAtMs : Math.min(targetAtMs, endAtMs);
+	const isLate = nowMs > waitUntilMs || nowMs + workMs > lastMs;
 	return {
 		verdict: isLate ? Verdict.Reject : Verdict.Wait,
 		reason: isLate ? PlacementReason.Late : PlacementReason.Full,
 		worker: undefined,
-		isWarm,
+		warmth,
+		distance,
 		load,
 		waitMs,
 		workMs,
