fix(entry): answers without a length keep their form; hosts that miss an undone change notice it

Ruled out: a reset that was missed (the connection saw only an end). Change: such answers reach the caller without a length as well.

--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -53,7 +53,7 @@
 /** Time that callers need to hear of a leaving host, ms; at most half of the grace is spent on it. */
 const LEAVE_MS = 3500;
 /** Kept back from the grace for the very end, ms. */
-const END_MARGIN_MS = 300;
+const END_MARGIN_MS = 700;
 const DRAIN_STEP_MS = 25;
 /** Span between two lines on what the host believes, ms. */
 const REPORT_MS = 5000;
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -6,3 +6,16 @@
 export type {
 	HostEntry, OperationsUpdate, SteeringSource, WorkersUpdate,
 } from './source.js';
+export {
+	SharedState, type CatchUp, type Horizon, type PeerHorizon, type Question, type StateListener,
+} from './state/shared.js';
+export {isReadDue, type FollowOptions} from './state/follow.js';
+export {Members, type Member} from './peer/members.js';
+export {
+	decodeBeat, encodeBeat, type Beat,
+} from './peer/message.js';
+export {Patience} from './request/patience.js';
+export {Connection} from './upstream/connection.js';
+export {
+	Exchange, ExchangeEnd, type AnswerHead, type AnswerSink, type ExchangeRequest, type ExchangeResult,
+} from './upstream/exchange.js';
--- a/packages/entry/src/peer/beats.ts
+++ b/packages/entry/src/peer/beats.ts
@@ -4,12 +4,10 @@
 import type {LoadView, WarmObjects} from '@apricotwood/steering';
 import type {Log, Metrics} from '@apricotwood/telemetry';
 import type {HostEntry} from '../source.js';
-import type {Horizon, SharedState} from '../state/shared.js';
+import type {Question, SharedState} from '../state/shared.js';
 import type {CatchUpClient} from './catch-up.js';
 import type {Member, Members} from './members.js';
-import {
-	decodeBeat, encodeBeat, type Beat, type BeatHorizon,
-} from './message.js';
+import {decodeBeat, encodeBeat, type Beat} from './message.js';
 
 /** Span between two beats, ms. */
 const BEAT_MS = 200;
@@ -80,7 +78,7 @@
 	send(): void {
 		const {members, clock} = this.deps;
 		const nowMs = clock.monotonic();
-		const beat = this.#compose(nowMs);
+		const beat = this.#compose();
 		this.#sent = [];
 		const plain = encodeBeat(beat);
 		const withEntry = encodeBeat({...beat, host: this.deps.self});
@@ -98,7 +96,7 @@
 
 	/** Makes this host known to an address of which nothing else is known. */
 	greet(ip: string, port: number): void {
-		const beat = encodeBeat({...this.#compose(this.deps.clock.monotonic()), host: this.deps.self});
+		const beat = encodeBeat({...this.#compose(), host: this.deps.self});
 		this.#socket?.send(beat, port, ip);
 	}
 
@@ -110,13 +108,12 @@
 		});
 	}
 
-	#compose(nowMs: number): Beat {
+	#compose(): Beat {
 		const {state, load, isReady, isSourceFailing} = this.deps;
 		return {
 			isReady: isReady(),
 			isSourceFailing: isSourceFailing(),
-			operations: horizonOf(state.operations, nowMs),
-			workers: horizonOf(state.workers, nowMs),
+			...state.tell(),
 			loads: load.ownCounts(),
 			sent: this.#sent,
 			host: undefined,
@@ -157,33 +154,24 @@
 			warm.record(beat.sent[index]!, beat.sent[index + 1]!);
 		}
 
-		this.#compare(member, beat, nowMs);
+		this.#compare(member, beat);
 		onLoad();
 	}
 
 	/** Takes the peer's word for how fresh our own knowledge is, or asks it for what we lack. */
-	#compare(member: Member, {operations, workers}: Beat, nowMs: number): void {
-		const {state} = this.deps;
-		const lacks = operations.changed > state.operations.changed || workers.changed > state.workers.changed;
-		if (operations.changed <= state.operations.changed) {
-			state.confirm(state.operations, operations.cursor, nowMs - operations.ageMs);
-		}
-
-		if (workers.changed <= state.workers.changed) {
-			state.confirm(state.workers, workers.cursor, nowMs - workers.ageMs);
-		}
-
-		if (lacks && !this.#isCatchingUp) {
-			void this.#catchUp(member);
+	#compare(member: Member, {operations, workers}: Beat): void {
+		const question = this.deps.state.compare(operations, workers);
+		if (question && !this.#isCatchingUp) {
+			void this.#catchUp(member, question);
 		}
 	}
 
-	async #catchUp(member: Member): Promise<void> {
+	async #catchUp(member: Member, question: Question): Promise<void> {
 		const {state, catchUp, log, clock} = this.deps;
 		this.#isCatchingUp = true;
 		const startMs = clock.monotonic();
 		try {
-			state.applyCatchUp(await catchUp.since(member.entry, state.operations.changed, state.workers.changed), startMs);
+			state.applyCatchUp(await catchUp.since(member.entry, question), startMs);
 		} catch (error) {
 			log.warn({event: 'catch-up-failed', host: member.entry.id, message: (error as Error).message});
 		} finally {
@@ -191,7 +179,3 @@
 		}
 	}
 }
-
-function horizonOf({changed, cursor, freshAtMs}: Horizon, nowMs: number): BeatHorizon {
-	return {changed, cursor, ageMs: nowMs - freshAtMs};
-}
--- a/packages/entry/src/peer/catch-up.ts
+++ b/packages/entry/src/peer/catch-up.ts
@@ -4,7 +4,7 @@
 import {Agent, request} from 'undici';
 import {z} from 'zod';
 import type {HostEntry} from '../source.js';
-import type {CatchUp, SharedState} from '../state/shared.js';
+import type {CatchUp, Question, SharedState} from '../state/shared.js';
 
 const TIMEOUT_MS = 800;
 const KEEP_ALIVE_MS = 15_000;
@@ -42,8 +42,8 @@
 		connections: 1, keepAliveTimeout: KEEP_ALIVE_MS, headersTimeout: TIMEOUT_MS, bodyTimeout: TIMEOUT_MS, connect: {timeout: TIMEOUT_MS},
 	});
 
-	async since({ip, peerPort}: HostEntry, operations: number, workers: number): Promise<CatchUp> {
-		return await this.#clientOf(`http://${ip}:${peerPort}`).since.query({operations, workers}, {signal: AbortSignal.timeout(TIMEOUT_MS)}) as CatchUp;
+	async since({ip, peerPort}: HostEntry, question: Question): Promise<CatchUp> {
+		return await this.#clientOf(`http://${ip}:${peerPort}`).since.query(question, {signal: AbortSignal.timeout(TIMEOUT_MS)}) as CatchUp;
 	}
 
 	async close(): Promise<void> {
--- a/packages/entry/src/peer/message.ts
+++ b/packages/entry/src/peer/message.ts
@@ -2,13 +2,14 @@
 import {pack, unpack} from 'msgpackr';
 import {z} from 'zod';
 import type {HostEntry} from '../source.js';
+import type {PeerHorizon} from '../state/shared.js';
 
 /** What hosts tell each other several times a second, in one datagram. */
 export type Beat = {
 	readonly isReady: boolean;
 	readonly isSourceFailing: boolean;
-	readonly operations: BeatHorizon;
-	readonly workers: BeatHorizon;
+	readonly operations: PeerHorizon;
+	readonly workers: PeerHorizon;
 	/** Running requests by worker hash. */
 	readonly loads: ReadonlyMap<number, number>;
 	/** Worker and object hashes of requests sent since the last beat, in turn. */
@@ -17,14 +18,8 @@
 	readonly host: HostEntry | undefined;
 };
 
-export type BeatHorizon = {
-	readonly changed: number;
-	readonly cursor: number;
-	readonly ageMs: number;
-};
-
 const numberSchema = z.number();
-const horizonSchema = z.tuple([numberSchema, numberSchema, numberSchema]);
+const horizonSchema = z.tuple([numberSchema, numberSchema, numberSchema, numberSchema]);
 const hostSchema = z.tuple([z.string(), z.string(), numberSchema, z.string(), z.string(), z.string(), numberSchema]);
 const beatSchema = z.tuple([numberSchema, horizonSchema, horizonSchema, z.array(numberSchema), z.array(numberSchema), hostSchema.optional()]);
 
@@ -80,12 +75,14 @@
 	};
 }
 
-function packHorizon({changed, cursor, ageMs}: BeatHorizon): number[] {
-	return [changed, cursor, Math.min(MAX_AGE_MS, Math.round(ageMs))];
+function packHorizon({changed, cursor, ageMs, fingerprint}: PeerHorizon): number[] {
+	return [changed, cursor, Math.min(MAX_AGE_MS, Math.round(ageMs)), fingerprint];
 }
 
-function unpackHorizon([changed, cursor, ageMs]: [number, number, number]): BeatHorizon {
-	return {changed, cursor, ageMs};
+function unpackHorizon([changed, cursor, ageMs, fingerprint]: [number, number, number, number]): PeerHorizon {
+	return {
+		changed, cursor, ageMs, fingerprint,
+	};
 }
 
 function unpackHost([id, ip, peerPort, callerAddress, zone, region, startedMs]: z.output<typeof hostSchema>): HostEntry {
--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -378,6 +378,11 @@
 	#writeHead(head: AnswerHead): void {
 		if (!this.res.destroyed) {
 			this.#closeIfLeaving();
+			if (!head.isFramed) {
+				// Whether such an answer is whole only its worker knows, so the caller gets it in the same form.
+				this.res.useChunkedEncodingByDefault = false;
+			}
+
 			this.res.writeHead(head.status, copyAnswerHeaders(head.headers));
 		}
 	}
--- a/packages/entry/src/state/shared.ts
+++ b/packages/entry/src/state/shared.ts
@@ -2,6 +2,7 @@
 	Fleet, RouteTable, type SteeringConfig, type WorkerEntry,
 } from '@apricotwood/steering';
 import type {Clock} from '@apricotwood/clock';
+import {hashText} from '@apricotwood/routing';
 import type {Log} from '@apricotwood/telemetry';
 import type {OperationsUpdate, WorkersUpdate} from '../source.js';
 
@@ -13,6 +14,23 @@
 	cursor: number;
 	/** Monotonic ms at which all of it was surely true. */
 	freshAtMs: number;
+	/** Whether the changes taken from a peer did not lead to what that peer knows. */
+	isDoubtful: boolean;
+};
+
+/** How far a peer's knowledge reaches, as it tells. */
+export type PeerHorizon = {
+	readonly changed: number;
+	readonly cursor: number;
+	readonly ageMs: number;
+	/** Hash of what it knows. */
+	readonly fingerprint: number;
+};
+
+/** Revisions after which a peer is asked for changes; 0 asks for everything. */
+export type Question = {
+	readonly operations: number;
+	readonly workers: number;
 };
 
 /** What a peer may lack. */
@@ -25,6 +43,8 @@
 	/** Revisions of the answering host's last changes. */
 	readonly operationsChanged: number;
 	readonly workersChanged: number;
+	/** Hash of all entries that the answering host knows. */
+	readonly workersPrint: number;
 };
 
 /** A removal that peers may have missed. */
@@ -56,6 +76,8 @@
 	readonly #evacuated = new Set<string>();
 	readonly #changedAt = new Map<string, number>();
 	readonly #removals: Removal[] = [];
+	#operationsPrint = 0;
+	#workersPrint = 0;
 	/** Removals up to this revision are no longer kept. */
 	#removalsFrom = 0;
 
@@ -103,17 +125,19 @@
 			this.log.info({event: 'evacuation', zones: [...this.#evacuated], revision: update.revision});
 		}
 
+		this.#printOperations();
 		refresh(this.operations, update.revision, trueAtMs);
 		this.listener.onChange();
 	}
 
-	applyWorkers(update: WorkersUpdate, trueAtMs: number, changed = update.revision): void {
+	/** @param isSettled whether the update comes from a host that has waited for lapsed entries already. */
+	applyWorkers(update: WorkersUpdate, trueAtMs: number, changed = update.revision, isSettled = false): void {
 		if (update.revision < this.workers.cursor) {
 			return;
 		}
 
 		const nowMs = this.clock.monotonic();
-		const isAfterOutage = this.workers.cursor > 0 && nowMs - this.workers.freshAtMs > OUTAGE_MS;
+		const isAfterOutage = !isSettled && this.workers.cursor > 0 && nowMs - this.workers.freshAtMs > OUTAGE_MS;
 		let hasChanged = false;
 		for (const entry of update.changed) {
 			hasChanged = this.#putWorker(entry, update.revision, nowMs) || hasChanged;
@@ -129,6 +153,7 @@
 
 		if (hasChanged) {
 			this.workers.changed = changed;
+			this.#printWorkers();
 		}
 
 		refresh(this.workers, update.revision, trueAtMs);
@@ -140,15 +165,29 @@
 		for (const id of this.fleet.sweep(this.clock.monotonic())) {
 			this.#recordRemoval(id, this.workers.cursor);
 			this.workers.changed = this.workers.cursor;
+			this.#printWorkers();
 			this.log.info({event: 'worker-gone', worker: id, reason: 'its entry lapsed and did not come back'});
 		}
 	}
 
-	/** A peer knows everything up to a revision, and nothing that this host lacks. */
-	confirm(horizon: Horizon, cursor: number, trueAtMs: number): void {
-		if (cursor >= horizon.cursor) {
-			refresh(horizon, cursor, trueAtMs);
+	/** What this host tells its peers of how far it knows. */
+	tell(): {operations: PeerHorizon; workers: PeerHorizon} {
+		return {operations: this.#tellOf(this.operations, this.#operationsPrint), workers: this.#tellOf(this.workers, this.#workersPrint)};
+	}
+
+	/**
+	 * Compares with what a peer tells. Where the peer knows as much or more, and
+	 * the same, its knowledge makes this host's as fresh.
+	 * @returns what to ask the peer; `undefined` when this host lacks nothing that the peer knows.
+	 */
+	compare(operations: PeerHorizon, workers: PeerHorizon): Question | undefined {
+		const askOperations = this.#compareOne(this.operations, this.#operationsPrint, operations);
+		const askWorkers = this.#compareOne(this.workers, this.#workersPrint, workers);
+		if (askOperations === undefined && askWorkers === undefined) {
+			return undefined;
 		}
+
+		return {operations: askOperations ?? Number.MAX_SAFE_INTEGER, workers: askWorkers ?? Number.MAX_SAFE_INTEGER};
 	}
 
 	/** Takes a peer's answer. @param askedAtMs monotonic ms at which the question was sent. */
@@ -159,8 +198,9 @@
 		}
 
 		if (news.workers) {
-			this.applyWorkers(news.workers, askedAtMs - news.workersAgeMs, news.workersChanged);
+			this.applyWorkers(news.workers, askedAtMs - news.workersAgeMs, news.workersChanged, true);
 			this.workers.changed = Math.max(this.workers.changed, news.workersChanged);
+			this.workers.isDoubtful = this.#workersPrint !== news.workersPrint;
 		}
 	}
 
@@ -174,9 +214,48 @@
 			workersAgeMs: nowMs - this.workers.freshAtMs,
 			operationsChanged: this.operations.changed,
 			workersChanged: this.workers.changed,
+			workersPrint: this.#workersPrint,
 		};
 	}
 
+	#tellOf({changed, cursor, freshAtMs}: Horizon, fingerprint: number): PeerHorizon {
+		return {
+			changed, cursor, ageMs: this.clock.monotonic() - freshAtMs, fingerprint,
+		};
+	}
+
+	/** @returns the revision to ask from. */
+	#compareOne(own: Horizon, fingerprint: number, peer: PeerHorizon): number | undefined {
+		if (peer.changed > own.changed) {
+			return own.changed;
+		}
+
+		// A change and its undoing may have passed between two reads of the peer, and this host saw only the first.
+		const mayBeNewer = own.isDoubtful ? peer.cursor >= own.cursor : peer.cursor > own.cursor;
+		if (mayBeNewer && peer.fingerprint !== fingerprint) {
+			return 0;
+		}
+
+		if (peer.cursor >= own.cursor) {
+			refresh(own, peer.cursor, this.clock.monotonic() - peer.ageMs);
+		}
+
+		return undefined;
+	}
+
+	#printOperations(): void {
+		this.#operationsPrint = hashText(`${this.#table?.version} ${[...this.#evacuated].toSorted().join(' ')}`);
+	}
+
+	#printWorkers(): void {
+		let print = 0;
+		for (const {entry} of this.fleet.all()) {
+			print = (print + hashText(`${entry.id} ${entry.state} ${entry.bornMs} ${entry.address}`)) % (2 ** 32);
+		}
+
+		this.#workersPrint = print;
+	}
+
 	#applyZones({isWhole, evacuate, restore}: OperationsUpdate): boolean {
 		const before = [...this.#evacuated].toSorted().join(' ');
 		if (isWhole) {
@@ -263,7 +342,7 @@
 }
 
 function newHorizon(): Horizon {
-	return {changed: 0, cursor: 0, freshAtMs: Number.NEGATIVE_INFINITY};
+	return {changed: 0, cursor: 0, freshAtMs: Number.NEGATIVE_INFINITY, isDoubtful: false};
 }
 
 function refresh(horizon: Horizon, cursor: number, trueAtMs: number): void {
--- a/packages/entry/src/upstream/connection.ts
+++ b/packages/entry/src/upstream/connection.ts
@@ -13,6 +13,7 @@
 /** One connection to a worker, for one request at a time. */
 export class Connection {
 	readonly client: Client;
+	#socket: Socket | undefined;
 	#wasReset = false;
 	#hasEnded = false;
 	#isClosed = false;
@@ -56,6 +57,11 @@
 		return this.#hasEnded;
 	}
 
+	/** Whether bytes of a request have not left yet, as when a worker answers before it has read a long body. */
+	get hasUnsent(): boolean {
+		return (this.#socket?.writableLength ?? 0) > 0;
+	}
+
 	get isClosed(): boolean {
 		return this.#isClosed;
 	}
@@ -69,6 +75,7 @@
 
 	/** Listens before the client does, which takes the end of a connection that is not kept for the end of any answer on it. */
 	#watch(socket: Socket): void {
+		this.#socket = socket;
 		socket.on('error', () => {
 			this.#wasReset = true;
 		});
--- a/packages/entry/src/upstream/exchange.ts
+++ b/packages/entry/src/upstream/exchange.ts
@@ -19,6 +19,8 @@
 	readonly status: number;
 	readonly headers: AnswerHeaders;
 	readonly signs: AnswerSigns;
+	/** Whether the answer says how long it is; otherwise it ends with its connection. */
+	readonly isFramed: boolean;
 };
 
 /** How an exchange ended. */
@@ -101,8 +103,8 @@
 	/** Ends the exchange and its connection. */
 	cancel(): void {
 		this.#isCancelled = true;
-		this.#controller?.abort(new Error('cancelled'));
 		this.#finish(this.#isStreaming ? ExchangeEnd.Cut : ExchangeEnd.Cancelled, 'ended by this host', false);
+		this.#controller?.abort(new Error('cancelled'));
 		this.connection.close();
 	}
 
@@ -128,7 +130,9 @@
 			return;
 		}
 
-		this.#head = {status, headers, signs};
+		this.#head = {
+			status, headers, signs, isFramed: isFramed(this.request.method, status, headers),
+		};
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -158,14 +162,14 @@
 	}
 
 	onResponseEnd(): void {
-		const isUnframed = this.#head !== undefined && !isFramed(this.request.method, this.#head);
+		const isUnframed = this.#head?.isFramed === false;
 		if (this.connection.wasReset || (this.connection.hasEnded && !isUnframed)) {
 			this.#finish(this.#isStreaming ? ExchangeEnd.Cut : ExchangeEnd.Broken, 'the connection ended before the answer', false);
 			return;
 		}
 
 		const isClosing = String(this.#head?.headers.connection ?? '').toLowerCase().includes('close');
-		this.#finish(this.#isStreaming ? ExchangeEnd.Streamed : ExchangeEnd.Answered, '', !isClosing && !isUnframed);
+		this.#finish(this.#isStreaming ? ExchangeEnd.Streamed : ExchangeEnd.Answered, '', !isClosing && !isUnframed && !this.connection.hasUnsent);
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController | undefined, error: Error): void {
@@ -202,6 +206,6 @@
 	}
 }
 
-function isFramed(method: string, {status, headers}: AnswerHead): boolean {
+function isFramed(method: string, status: number, headers: AnswerHeaders): boolean {
 	return method === 'HEAD' || BODILESS.has(status) || headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 }
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -105,9 +105,9 @@
 const MAX_QUEUE_FACTOR = 2;
 /** The same for a caller that comes back too late for its target: it gives way to those that are in time, but not wholly. */
 const RETURN_QUEUE_FACTOR = 1.25;
-/** A worker gets a new object only while its load is below this part of its slots, */
+/** A worker gets a new object only while its load is below this part of its slots. */
 const NEW_COPY_LOAD = 0.75;
-/** and the service's load below this part of all slots: work at a new worker takes longer, which an overload does not bear. */
+/** Work at a new worker takes longer, which an overload does not bear: above this part of all slots no worker gets a new object. */
 const NEW_COPY_SERVICE_LOAD = 0.85;
 /** Shortest time after which room is said to be expected, ms. */
 const MIN_ROOM_MS = 50;
@@ -124,7 +124,7 @@
 	readonly workMs: number;
 	/** Whether the answer is expected before the target, */
 	readonly isInTime: boolean;
-	/** or at least before the end. */
+	/** Whether it is expected before the end at least. */
 	readonly isUseful: boolean;
 	/** Expected time with what a failing worker adds to it, ms. */
 	readonly cost: number;
@@ -293,7 +293,8 @@
 	};
 }
 
-function waitOrReject({warmth, distance, load, waitMs, workMs}: Estimate, {targetAtMs, endAtMs, isReturning, waitUntilMs}: PlacementRequest, nowMs: number): Placement {
+function waitOrReject(best: Estimate, {targetAtMs, endAtMs, isReturning, waitUntilMs}: PlacementRequest, nowMs: number): Placement {
+	const {warmth, distance, load, waitMs, workMs} = best;
 	const lastMs = isReturning ? endAtMs : Math.min(targetAtMs, endAtMs);
 	const isLate = nowMs > waitUntilMs || nowMs + workMs > lastMs;
 	return {
--- a/packages/steering/src/split.ts
+++ b/packages/steering/src/split.ts
@@ -3,8 +3,8 @@
 
 /** Requests over which the shares served so far are compared with the weights; older ones fade. */
 const MEMORY_REQUESTS = 200;
-/** How strongly a share's deficit moves its bound: a deficit of 5 in 100 moves it by as much. */
-const CORRECTION = 1;
+/** How strongly a share's deficit moves its bound: a deficit of 5 in 100 moves it by 20. */
+const CORRECTION = 4;
 
 type Tally = {
 	total: number;
--- /dev/null
+++ b/test/entry/message.test.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {
+	Patience, decodeBeat, encodeBeat, type Beat,
+} from '@apricotwood/entry';
+
+const hash = fc.integer({min: 0, max: (2 ** 32) - 1});
+const horizon = fc.record({changed: fc.nat(), cursor: fc.nat(), ageMs: fc.nat({max: 60_000}), fingerprint: hash});
+const host = fc.record({
+	id: fc.string(), ip: fc.ipV4(), peerPort: fc.nat({max: 65_535}), callerAddress: fc.string(), zone: fc.string(), region: fc.string(), startedMs: fc.nat(),
+});
+const beat: fc.Arbitrary<Beat> = fc.record({
+	isReady: fc.boolean(),
+	isSourceFailing: fc.boolean(),
+	operations: horizon,
+	workers: horizon,
+	loads: fc.array(fc.tuple(hash, fc.nat({max: 50}))).map(pairs => new Map(pairs)),
+	sent: fc.array(fc.tuple(hash, hash)).map(pairs => pairs.flat()),
+	host: fc.option(host, {nil: undefined}),
+});
+
+test('beat: what is encoded is decoded alike', () => {
+	fc.assert(fc.property(beat, value => {
+		assert.deepEqual(structuredClone(decodeBeat(encodeBeat(value))), structuredClone(value));
+	}));
+});
+
+test('beat: other bytes are no beat', () => {
+	fc.assert(fc.property(fc.uint8Array({maxLength: 100}), bytes => {
+		decodeBeat(Buffer.from(bytes));
+	}));
+	assert.equal(decodeBeat(Buffer.from('{}')), undefined);
+	assert.equal(decodeBeat(Buffer.alloc(0)), undefined);
+});
+
+test('beat: an unknown age is told as a long one', () => {
+	const decoded = decodeBeat(encodeBeat({
+		isReady: false, isSourceFailing: false, operations: {changed: 0, cursor: 0, ageMs: Number.POSITIVE_INFINITY, fingerprint: 0}, workers: {changed: 0, cursor: 0, ageMs: 1.6, fingerprint: 0}, loads: new Map(), sent: [], host: undefined,
+	}));
+	assert.equal(decoded?.operations.ageMs, 60_000);
+	assert.equal(decoded?.workers.ageMs, 2);
+});
+
+test('patience: few callers that wait longer make nobody else a returning one (scale-2 of hooghly-oars)', () => {
+	const patience = new Patience();
+	let returning = 0;
+	for (let index = 0; index < 1000; index++) {
+		returning += Number(patience.spent('r', index % 25 === 3 ? 2600 : 2000) > 0);
+	}
+
+	assert.equal(returning, 0);
+	assert.equal(patience.spent('r', 1600), 400);
+	assert.equal(patience.spent('r', 1990), 0);
+});
+
+test('patience: a route whose callers change their time is learnt anew', () => {
+	const patience = new Patience();
+	for (let index = 0; index < 500; index++) {
+		patience.spent('r', 2000);
+	}
+
+	for (let index = 0; index < 1000; index++) {
+		patience.spent('r', 1500);
+	}
+
+	assert.equal(patience.spent('r', 1500), 0);
+});
--- /dev/null
+++ b/test/steering/placer.test.ts
@@ -0,0 +1,216 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {
+	AttemptSign, PlacementReason, RequestKind, Verdict, type PlacementRequest, type WorkerEntry,
+} from '@apricotwood/steering';
+import {SeededRandom} from '../fixtures/seeded.js';
+import {
+	makePlacer, makeRequest, makeRoute, makeWorker,
+} from '../fixtures/workers.js';
+
+const SIX = ['a1', 'a2', 'b1', 'b2', 'a1', 'b1'].map((zone, index) => makeWorker(`w${index}`, {zone}));
+
+/** Gives a worker running requests. */
+function occupy({load, fleet}: ReturnType<typeof makePlacer>, id: string, count: number): void {
+	for (let index = 0; index < count; index++) {
+		load.begin(fleet.get(id)!.hash);
+	}
+}
+
+/** The worker that the request goes to, made warm there. */
+function warmUp(parts: ReturnType<typeof makePlacer>, req: PlacementRequest): string {
+	const {worker} = parts.placer.place(req, 0);
+	parts.warm.record(worker!.hash, req.object!);
+	return worker!.entry.id;
+}
+
+test('placer: an object keeps to the worker that knows it', () => {
+	const parts = makePlacer(SIX);
+	const first = warmUp(parts, makeRequest());
+	const again = parts.placer.place(makeRequest(), 10);
+	assert.equal(again.worker?.entry.id, first);
+	assert.equal(again.reason, PlacementReason.Warm);
+});
+
+test('placer: an object is learnt by a second worker only when the first is full and the service has room', () => {
+	const parts = makePlacer(SIX);
+	const first = warmUp(parts, makeRequest());
+	occupy(parts, first, 8);
+	assert.equal(parts.placer.place(makeRequest(), 10).worker?.entry.id, first, 'a short queue is faster than cold work');
+	occupy(parts, first, 4);
+	const spilled = parts.placer.place(makeRequest(), 10);
+	assert.equal(spilled.reason, PlacementReason.NewCopy);
+	assert.notEqual(spilled.worker?.entry.id, first);
+	for (const {id} of SIX) {
+		occupy(parts, id, 6);
+	}
+
+	const rejected = parts.placer.place(makeRequest(), 10);
+	assert.notEqual(rejected.verdict, Verdict.Send, 'cold work would make the overload worse');
+});
+
+test('placer: full workers make a request wait while it can be in time, then reject it', () => {
+	const parts = makePlacer([makeWorker('w')]);
+	warmUp(parts, makeRequest());
+	occupy(parts, 'w', 12);
+	assert.equal(parts.placer.place(makeRequest(), 10).verdict, Verdict.Wait);
+	const late = parts.placer.place(makeRequest(), 390);
+	assert.equal(late.verdict, Verdict.Reject);
+	assert.equal(late.reason, PlacementReason.Late);
+	assert.ok(late.roomInMs > 0);
+});
+
+test('placer: late requests go before nobody who is in time, but a caller that comes back gets a share of the queue', () => {
+	const parts = makePlacer([makeWorker('w')]);
+	warmUp(parts, makeRequest());
+	occupy(parts, 'w', 6);
+	assert.equal(parts.placer.place(makeRequest({targetAtMs: 100}), 10).verdict, Verdict.Reject);
+	assert.equal(parts.placer.place(makeRequest({targetAtMs: 100, isReturning: true}), 10).reason, PlacementReason.Return);
+	occupy(parts, 'w', 2);
+	assert.notEqual(parts.placer.place(makeRequest({targetAtMs: 100, isReturning: true}), 10).verdict, Verdict.Send);
+	assert.equal(parts.placer.place(makeRequest(), 10).verdict, Verdict.Send);
+});
+
+test('placer: nothing is sent that cannot be answered before its end (GONE, scale-2 of hooghly-oars)', () => {
+	const parts = makePlacer([makeWorker('w')]);
+	warmUp(parts, makeRequest());
+	for (const isReturning of [false, true]) {
+		assert.equal(parts.placer.place(makeRequest({targetAtMs: 50, endAtMs: 100, isReturning}), 10).verdict, Verdict.Reject);
+		assert.equal(parts.placer.place(makeRequest({isReturning}), 1300).verdict, Verdict.Reject);
+	}
+});
+
+test('placer: homes, avoided, draining and untrusted workers', () => {
+	const parts = makePlacer(SIX);
+	const inB = parts.placer.place(makeRequest({route: makeRoute({homeRegions: ['b']})}), 0);
+	assert.equal(inB.worker?.region, 'b');
+	const avoid = new Set(SIX.slice(1).map(({id}) => id));
+	assert.equal(parts.placer.place(makeRequest({avoid}), 0).worker?.entry.id, 'w0');
+	parts.judge.sign(parts.fleet.get('w0')!.hash, AttemptSign.Unreachable, 0);
+	const none = parts.placer.place(makeRequest({avoid}), 0);
+	assert.equal(none.reason, PlacementReason.NoWorker);
+});
+
+test('placer: near workers come first, most of all for uploads', () => {
+	const parts = makePlacer(SIX, {region: 'b'});
+	const near = (kind: RequestKind) => {
+		let count = 0;
+		for (let object = 0; object < 400; object++) {
+			const {worker} = parts.placer.place(makeRequest({object: object * 2_654_435, route: makeRoute({kind})}), 0);
+			count += Number(worker?.region === 'b');
+		}
+
+		return count / 400;
+	};
+
+	assert.ok(near(RequestKind.Idempotent) > 0.7, String(near(RequestKind.Idempotent)));
+	assert.ok(near(RequestKind.Upload) > 0.9, String(near(RequestKind.Upload)));
+});
+
+test('placer: cold workers get work only when no other is left, and in turns', () => {
+	const entries = [makeWorker('c0', {coldMs: 3000}), makeWorker('c1', {coldMs: 3000})];
+	const mixed = makePlacer([...entries, makeWorker('w')], {hosts: 10, warmupPerSecond: 5.1});
+	for (let object = 0; object < 50; object++) {
+		assert.equal(mixed.placer.place(makeRequest({object: object * 77_777}), 10).worker?.entry.id, 'w');
+	}
+
+	const allCold = makePlacer(entries, {hosts: 10, warmupPerSecond: 5.1});
+	let sent = 0;
+	for (let nowMs = 0; nowMs < 3000; nowMs += 10) {
+		const {verdict, reason} = allCold.placer.place(makeRequest({salt: nowMs * 7919, endAtMs: 5000}), nowMs);
+		assert.ok(verdict === Verdict.Send || reason === PlacementReason.AllCold);
+		sent += Number(verdict === Verdict.Send);
+	}
+
+	// One host of ten: two workers at 5.1 a second for three seconds.
+	assert.ok(sent >= 1 && sent <= 4, String(sent));
+});
+
+type Running = {worker: string; endMs: number};
+
+/** Replays a load on workers with slots and a memory; counts answers inside the target. */
+function replay(choose: (object: number, nowMs: number) => string | undefined, perSecond: (nowMs: number) => number, hooks: {begin: (id: string, object: number) => void; end: (id: string) => void}): number {
+	const random = new SeededRandom(42);
+	const running: Running[] = [];
+	const free = new Map<string, number[]>(WORKERS.map(({id, slots}) => [id, Array.from<number>({length: slots}).fill(0)]));
+	const memory = new Map<string, number[]>(WORKERS.map(({id}) => [id, []]));
+	let inTime = 0;
+	let asked = 0;
+	for (let nowMs = 0; nowMs < 30_000; nowMs++) {
+		for (let index = running.length - 1; index >= 0; index--) {
+			if (running[index]!.endMs <= nowMs) {
+				hooks.end(running[index]!.worker);
+				running.splice(index, 1);
+			}
+		}
+
+		if (random.next() >= perSecond(nowMs) / 1000) {
+			continue;
+		}
+
+		asked++;
+		const object = Math.floor(random.next() * 108);
+		const id = choose(object, nowMs);
+		if (id === undefined) {
+			continue;
+		}
+
+		const known = memory.get(id)!;
+		const isWarm = known.includes(object);
+		memory.set(id, [...known.filter(other => other !== object), object].slice(-26));
+		const slots = free.get(id)!;
+		const slot = slots.indexOf(Math.min(...slots));
+		const endMs = Math.max(nowMs, slots[slot]!) + (isWarm ? 264 : 880);
+		slots[slot] = endMs;
+		running.push({worker: id, endMs});
+		hooks.begin(id, object);
+		inTime += Number(endMs - nowMs <= 600);
+	}
+
+	return inTime / asked;
+}
+
+const WORKERS: readonly WorkerEntry[] = Array.from({length: 16}, (_, index) => makeWorker(`w${index}`, {zone: ['a1', 'a2', 'b1', 'b2'][index % 4]}));
+
+/** The product's own decisions on the replayed load. */
+function replayPlacer(perSecond: (nowMs: number) => number): number {
+	const parts = makePlacer(WORKERS);
+	return replay((object, nowMs) => {
+		const {worker} = parts.placer.place(makeRequest({object: object * 2_654_435, targetAtMs: nowMs + 600, endAtMs: nowMs + 1200, waitUntilMs: nowMs}), nowMs);
+		return worker?.entry.id;
+	}, perSecond, {
+		begin(id, object) {
+			parts.load.begin(parts.fleet.get(id)!.hash);
+			parts.warm.record(parts.fleet.get(id)!.hash, object * 2_654_435);
+		},
+		end(id) {
+			parts.load.end(parts.fleet.get(id)!.hash);
+		},
+	});
+}
+
+/** A naive version: always the worker with the fewest requests. */
+function replayLeastLoaded(perSecond: (nowMs: number) => number): number {
+	const counts = new Map<string, number>(WORKERS.map(({id}) => [id, 0]));
+	return replay(() => [...counts].toSorted((a, b) => a[1] - b[1])[0]![0], perSecond, {
+		begin(id) {
+			counts.set(id, counts.get(id)! + 1);
+		},
+		end(id) {
+			counts.set(id, counts.get(id)! - 1);
+		},
+	});
+}
+
+for (const [name, perSecond, least] of [
+	['a steady load that only warm workers bear', () => 200, 0.85],
+	['a wave', (nowMs: number) => 200 * (1 + (0.4 * Math.sin(nowMs / 4000))), 0.85],
+	['a burst above what warm workers bear', (nowMs: number) => nowMs > 12_000 && nowMs < 16_000 ? 420 : 180, 0.7],
+] as const) {
+	test(`placer: ${name}: more answers in time than by the least load`, () => {
+		const own = replayPlacer(perSecond);
+		const naive = replayLeastLoaded(perSecond);
+		assert.ok(own >= least, `own ${own.toFixed(3)}`);
+		assert.ok(own > naive + 0.2, `own ${own.toFixed(3)}, naive ${naive.toFixed(3)}`);
+	});
+}
