--- /dev/null
+++ b/test/adapter/decode.test.ts
@@ -0,0 +1,145 @@
+import assert from 'node:assert/strict';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {test} from 'node:test';
+import {FindingsError} from '@apricotwood/findings';
+import {
+	PlatformDialect, decodeConfig, decodeWorker, loadSettings, readSpan,
+} from '@apricotwood/platform';
+import {RequestKind, RouteTable, WorkerState} from '@apricotwood/steering';
+import {usersConfig} from '../fixtures/users-platform.js';
+
+/** Places and messages of all findings. */
+function findingsOf(run: () => unknown): string[] {
+	try {
+		run();
+	} catch (error) {
+		assert.ok(error instanceof FindingsError, String(error));
+		return error.findings.map(({place, message}) => `${place}: ${message}`);
+	}
+
+	return [];
+}
+
+test('config: a whole one is decoded into the product\'s words', () => {
+	const config = decodeConfig(usersConfig(12, ['board'], [['split', 'B.example', '/s/', 'upload', '2.5s', '300ms', 3, null, 1, false, ['a'], [{service: 'board', weight: 9}, {service: 'board', weight: 0}]]]));
+	assert.equal(config.version, 12);
+	assert.deepEqual(config.routes.at(-1), {
+		name: 'split', host: 'b.example', prefix: '/s/', kind: RequestKind.Upload, timeoutMs: 2500, targetMs: 300, priority: 3, maxAttempts: 1, hasAffinity: false, homeRegions: ['a'], shares: [{service: 'board', weight: 9}],
+	});
+	assert.deepEqual(config.services, [{name: 'board', healthPath: '/health', maxConnections: 100, warmupMs: 1000, warmupPerSecond: 5.1}]);
+	assert.equal(config.limits.headerTimeoutMs, 3000);
+});
+
+const route = (fields: Record<number, unknown>) => {
+	const row: unknown[] = ['r', 'a.example', '/r/', 'idempotent', '1s', '1s', 1, 'board', 2, true, [], null];
+	for (const [index, value] of Object.entries(fields)) {
+		row[Number(index)] = value;
+	}
+
+	return usersConfig(2, ['board'], [row]);
+};
+
+for (const [name, config, finding] of [
+	['a version without its letter', {...usersConfig(1, ['board']), version: '7'}, 'version: must be r and a number'],
+	['an unknown service', route({7: 'nowhere'}), 'routes[3]: leads to nowhere, which is not among the services'],
+	['no service at all', route({7: null}), 'routes[3]: names no service with a weight above 0'],
+	['no attempts', route({8: 0}), 'routes[3].max_attempts: must be 1 or more'],
+	['a weight below zero', route({11: [{service: 'board', weight: -1}]}), 'routes[3].weighted_services[0].weight: must be 0 or more'],
+	['a time without its unit', route({4: '15'}), 'routes[3].timeout: must be a number with its unit, such as 1500ms or 2.5s'],
+	['a prefix without its slash', route({2: '/r'}), 'routes[3].path_prefix: must start and end with a slash'],
+] as const) {
+	test(`config: ${name} is found with its place`, () => {
+		assert.deepEqual(findingsOf(() => decodeConfig(config)), [finding]);
+	});
+}
+
+test('config: what was cut short is no configuration', () => {
+	assert.ok(findingsOf(() => decodeConfig({version: 'r3'})).length > 0);
+	assert.ok(findingsOf(() => decodeConfig(null)).length > 0); // eslint-disable-line unicorn/no-null
+});
+
+test('routes: the longest prefix wins, host names without port or case', () => {
+	const table = new RouteTable(decodeConfig(usersConfig(1, ['board'], [['deep', 'a.example', '/read/deep/', 'idempotent', '1s', '1s', 1, 'board', 2, true, [], null]])));
+	assert.equal(table.match('A.example:80', '/read/deep/x')?.name, 'deep');
+	assert.equal(table.match('a.example', '/read/deeper')?.name, 'read');
+	assert.equal(table.match('a.example', '/read'), undefined);
+	assert.equal(table.match('b.example', '/read/x'), undefined);
+});
+
+const ENTRY = {
+	addr: '10.0.0.1:80', born: 5, info: {service: 'board', zone: 'a1', version: 'v1', slots: 6}, status: {state: 'ready', sequence: 1, cold_remaining: '1.5s'},
+};
+
+test('worker: a whole entry is decoded into the product\'s words', () => {
+	assert.deepEqual(decodeWorker('w', ENTRY), {
+		id: 'w', service: 'board', address: '10.0.0.1:80', zone: 'a1', slots: 6, state: WorkerState.Ready, coldMs: 1500, bornMs: 5,
+	});
+	assert.equal(decodeWorker('w', {...ENTRY, status: {...ENTRY.status, state: 'draining'}}).state, WorkerState.Draining);
+});
+
+for (const [name, entry] of [
+	['another type', 7],
+	['no address', {...ENTRY, addr: undefined}],
+	['an address that is none', {...ENTRY, addr: 'here'}],
+	['an unknown state', {...ENTRY, status: {...ENTRY.status, state: 'dancing'}}],
+	['slots as text', {...ENTRY, info: {...ENTRY.info, slots: '6'}}],
+	['no slots', {...ENTRY, info: {...ENTRY.info, slots: 0}}],
+	['a cold time that is none', {...ENTRY, status: {...ENTRY.status, cold_remaining: 'soon'}}],
+] as const) {
+	test(`worker: ${name} names no worker`, () => {
+		assert.ok(findingsOf(() => decodeWorker('w', entry)).length > 0);
+	});
+}
+
+for (const [text, ms] of [['1500ms', 1500], ['2.5s', 2500], ['0ms', 0], ['5', undefined], ['-1s', undefined], ['1m', undefined], ['', undefined]] as const) {
+	test(`span: '${text}' is ${ms}`, () => {
+		assert.equal(readSpan(text), ms);
+	});
+}
+
+test('dialect: signs of callers, answers and checks', () => {
+	const dialect = new PlatformDialect();
+	assert.deepEqual(dialect.readCaller({'request-id': 'r', 'request-deadline-ms': '900', 'affinity-key': 'k'}), {requestId: 'r', waitsMs: 900, object: 'k'});
+	assert.equal(dialect.readCaller({'request-deadline-ms': 'soon'}).waitsMs, undefined);
+	assert.deepEqual(dialect.readAnswer(200, {'server-signature': 's', 'server-load': '3,1,6'}), {
+		requestId: undefined, isSigned: true, isNotRun: false, isOtherWorker: false, load: {running: 3, waiting: 1},
+	});
+	assert.equal(dialect.readAnswer(421, {}).isOtherWorker, true);
+	assert.equal(dialect.readAnswer(503, {'not-executed': '1'}).isNotRun, true);
+	assert.equal(dialect.readAnswer(200, {'server-load': 'much'}).load, undefined);
+	assert.deepEqual(dialect.readCheck(503, {'instance-id': 'w', 'cold-remaining-ms': '700'}), {isHealthy: false, worker: 'w', coldMs: 700});
+});
+
+const SETTINGS = {
+	node: 'edge-1', ip: '10.1.0.15', zone: 'a1', region: 'a', internal_ports: [7620, 7635], seed_nodes: ['10.2.0.1:8649'], zones: {a1: 'a'}, listen_addrs: {edge_addr: '10.1.0.15:8641', ready_addr: '10.1.0.15:8640', directory: '10.1.0.15:8644'}, bounds: {grace: '6s', ttl_max: '1s'}, platform: {addr: '10.200.1.7:8642'}, later: {unknown: true},
+};
+
+/** Loads settings from a file with the given text. */
+function load(text: string) {
+	const folder = mkdtempSync(path.join(tmpdir(), 'apricotwood-'));
+	const file = path.join(folder, 'local.json');
+	writeFileSync(file, text);
+	try {
+		return loadSettings(file, 1);
+	} finally {
+		rmSync(folder, {recursive: true});
+	}
+}
+
+test('settings: decoded, with defaults, unknown keys left alone', () => {
+	const settings = load(JSON.stringify(SETTINGS));
+	assert.equal(settings.entry.self.peerPort, 7620);
+	assert.equal(settings.entry.graceMs, 6000);
+	assert.deepEqual(settings.entry.seeds, ['10.2.0.1']);
+	assert.deepEqual(settings.entry.repeats, {ratio: 0.2, extra: 0, windowMs: 10_000});
+	assert.equal(settings.listTtlMs, 1000);
+});
+
+test('settings: every finding is told with its place', () => {
+	const findings = findingsOf(() => load(JSON.stringify({...SETTINGS, node: '', platform: {addr: 'there'}, bounds: {grace: 6}})));
+	assert.deepEqual(findings.map(finding => finding.split(':')[0]), ['node', 'bounds.grace', 'platform.addr']);
+	assert.equal(findingsOf(() => load('{')).length, 1);
+	assert.equal(findingsOf(() => loadSettings('/nowhere/local.json', 1)).length, 1);
+});
--- a/test/entry/exchange.test.ts
+++ b/test/entry/exchange.test.ts
@@ -10,6 +10,10 @@
 
 const SILENT_SINK: AnswerSink = {start() {}, write: () => true};
 const HEAD = 'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Signature: s\r\n';
+const CHUNKS = 'Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n';
+const SHED = 'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n';
+const OTHER = 'HTTP/1.1 421 Other\r\nInstance-Id: i\r\nContent-Length: 0\r\n\r\n';
+const STRAY = 'HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nServer-Signature: s\r\nContent-Length: 4\r\n\r\nbody';
 
 async function exchange(connection: Connection, fields: Partial<ExchangeRequest> = {}): Promise<ExchangeResult> {
 	return new Exchange(connection, {
@@ -19,7 +23,7 @@
 
 type Row = {
 	readonly name: string;
-	readonly answer: (socket: Socket) => void;
+	readonly answer: (socket: Socket) => unknown;
 	readonly end: ExchangeEnd;
 	readonly isReusable?: boolean;
 	readonly mayHaveRun?: boolean;
@@ -28,31 +32,39 @@
 
 const ROWS: readonly Row[] = [
 	{name: 'a whole answer by length', answer: socket => socket.write(`${HEAD}Content-Length: 4\r\n\r\nbody`), end: ExchangeEnd.Answered, isReusable: true, body: 'body'},
-	{name: 'a whole answer in chunks', answer: socket => socket.write(`${HEAD}Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n`), end: ExchangeEnd.Answered, isReusable: true, body: 'body'},
-	{name: 'chunks, whole, on a connection that closes', answer: socket => socket.end(`${HEAD}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n`), end: ExchangeEnd.Answered, isReusable: false, body: 'body'},
-	{name: 'chunks that a close cuts (MIXED, trouble-2)', answer: socket => socket.end(`${HEAD}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n`), end: ExchangeEnd.Broken},
-	{name: 'chunks that a reset cuts (MIXED, trouble-2)', answer(socket) {
-		socket.write(`${HEAD}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n`, () => {
-			setTimeout(() => {
-				socket.resetAndDestroy();
-			}, 20);
-		});
-	}, end: ExchangeEnd.Broken},
+	{name: 'a whole answer in chunks', answer: socket => socket.write(`${HEAD}${CHUNKS}0\r\n\r\n`), end: ExchangeEnd.Answered, isReusable: true, body: 'body'},
+	{name: 'chunks, whole, on a connection that closes', answer: socket => socket.end(`${HEAD}Connection: close\r\n${CHUNKS}0\r\n\r\n`), end: ExchangeEnd.Answered, isReusable: false, body: 'body'},
+	{name: 'chunks that a close cuts (MIXED, trouble-2)', answer: socket => socket.end(`${HEAD}Connection: close\r\n${CHUNKS}`), end: ExchangeEnd.Broken},
+	{
+		name: 'chunks that a reset cuts (MIXED, trouble-2)',
+		answer(socket) {
+			socket.write(`${HEAD}Connection: close\r\n${CHUNKS}`, () => {
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, 20);
+			});
+		},
+		end: ExchangeEnd.Broken,
+	},
 	{name: 'a length that is not reached', answer: socket => socket.end(`${HEAD}Connection: close\r\nContent-Length: 9\r\n\r\nbody`), end: ExchangeEnd.Broken},
 	{name: 'no length, ended by a close', answer: socket => socket.end(`${HEAD}Connection: close\r\n\r\nbody`), end: ExchangeEnd.Answered, isReusable: false, body: 'body'},
-	{name: 'no length, ended by a reset', answer(socket) {
-		socket.write(`${HEAD}Connection: close\r\n\r\nbody`, () => {
-			setTimeout(() => {
-				socket.resetAndDestroy();
-			}, 20);
-		});
-	}, end: ExchangeEnd.Broken},
-	{name: 'the answer to another request', answer: socket => socket.write('HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nServer-Signature: s\r\nContent-Length: 4\r\n\r\nbody'), end: ExchangeEnd.Stray},
+	{
+		name: 'no length, ended by a reset',
+		answer(socket) {
+			socket.write(`${HEAD}Connection: close\r\n\r\nbody`, () => {
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, 20);
+			});
+		},
+		end: ExchangeEnd.Broken,
+	},
+	{name: 'the answer to another request', answer: socket => socket.write(STRAY), end: ExchangeEnd.Stray},
 	{name: 'bytes that are no answer', answer: socket => socket.write('%$#! garbage\r\n\r\n'), end: ExchangeEnd.Broken},
 	{name: 'a reset before any answer', answer: socket => socket.resetAndDestroy(), end: ExchangeEnd.Broken},
 	{name: 'a close before any answer', answer: socket => socket.end(), end: ExchangeEnd.Broken},
-	{name: 'a worker that says that it did not run it', answer: socket => socket.write('HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'), end: ExchangeEnd.Answered, mayHaveRun: false, isReusable: true},
-	{name: 'another worker at the address', answer: socket => socket.write('HTTP/1.1 421 Other\r\nInstance-Id: i\r\nContent-Length: 0\r\n\r\n'), end: ExchangeEnd.Answered, mayHaveRun: false, isReusable: true},
+	{name: 'a worker that says that it did not run it', answer: socket => socket.write(SHED), end: ExchangeEnd.Answered, mayHaveRun: false, isReusable: true},
+	{name: 'another worker at the address', answer: socket => socket.write(OTHER), end: ExchangeEnd.Answered, mayHaveRun: false, isReusable: true},
 ];
 
 for (const {name, answer, end, isReusable, mayHaveRun, body} of ROWS) {
@@ -124,7 +136,7 @@
 	}, new PlatformDialect(), SILENT_SINK);
 	const ended = running.run();
 	while (!running.wasSent) {
-		await new Promise(resolve => { // eslint-disable-line no-await-in-loop
+		await new Promise(resolve => {
 			setImmediate(resolve);
 		});
 	}
--- /dev/null
+++ b/test/entry/whole-path.test.ts
@@ -0,0 +1,300 @@
+import assert from 'node:assert/strict';
+import {
+	after, before, beforeEach, test,
+} from 'node:test';
+import {
+	RigHost, eventually, freePorts, send,
+} from '../fixtures/entry-rig.js';
+import {
+	StoreMood, UsersStore, UsersWorker, usersConfig, type StoreDoor,
+} from '../fixtures/users-platform.js';
+
+const IPS = ['127.0.0.11', '127.0.0.12', '127.0.0.13'];
+const store = new UsersStore();
+const workers = [new UsersWorker('w1', 'board'), new UsersWorker('w2', 'board', 'a2'), new UsersWorker('x1', 'other', 'b1')];
+const hosts: RigHost[] = [];
+let ports: number[] = [];
+/** The second host's way to the store. */
+let door: StoreDoor;
+let version = 1;
+
+function setConfig(extraRoutes: ReadonlyArray<readonly unknown[]> = []): number {
+	version += 3;
+	store.put('op', 'config', usersConfig(version, ['board', 'other'], extraRoutes));
+	return version;
+}
+
+function runsOf(id: string): number {
+	return workers.flatMap(worker => worker.ran).filter(ran => ran === id).length;
+}
+
+before(async () => {
+	await store.start();
+	ports = await freePorts(4);
+	setConfig();
+	for (const worker of workers) {
+		await worker.start();
+		store.put('servers', worker.id, worker.entry);
+	}
+
+	door = await store.openDoor();
+	for (const [index, ip] of IPS.entries()) {
+		hosts.push(await new RigHost(ip, ports, index === 1 ? door.address : store.address).start());
+	}
+
+	await eventually('all hosts are ready and know each other', () => hosts.every(({host}) => host.isReady && host.members.ready(performance.now()).length === 2 && host.state.fleet.size === 3));
+});
+
+after(async () => {
+	await Promise.all(hosts.map(async host => host.stop()));
+	await Promise.all(workers.map(async worker => worker.stop()));
+	await store.stop();
+});
+
+beforeEach(async () => {
+	door.mood = StoreMood.Well;
+	store.mood = StoreMood.Well;
+	for (const worker of workers) {
+		worker.fault = 'none';
+	}
+
+	await eventually('a request is served again', async () => (await hosts[0]!.send('/read/x')).status === 200);
+});
+
+test('a request reaches a worker unchanged, and the worker\'s answer its caller', async () => {
+	const reply = await hosts[0]!.send('/book/x?y=1', {method: 'POST', body: 'hello', id: 'whole-1'});
+	assert.equal(reply.status, 200);
+	assert.equal(reply.body, 'POST /book/x?y=1 5');
+	const worker = workers.find(({ran}) => ran.includes('whole-1'))!;
+	assert.equal(reply.headers['server-signature'], `sig-${worker.id}`);
+	assert.equal(reply.headers['request-id'], 'whole-1');
+	assert.equal(worker.headers['target-instance'], worker.id);
+	assert.equal(worker.headers['affinity-key'], '7');
+	assert.ok(Number(worker.headers['request-deadline-ms']) <= 1400);
+});
+
+test('an object keeps to one worker, whichever host is asked', async () => {
+	await hosts[0]!.send('/read/x', {headers: {'affinity-key': 'same'}});
+	const used = new Set<string | undefined>();
+	for (let index = 0; index < 12; index++) {
+		const reply = await hosts[index % 3]!.send('/read/x', {headers: {'affinity-key': 'same'}});
+		used.add(reply.headers['server-signature'] as string);
+	}
+
+	assert.equal(used.size, 1);
+});
+
+const REFUSALS = [
+	['no route', '/none/x', {}, 404],
+	['another host name', '/read/x', {host: 'b.example'}, 404],
+	['a long header', '/read/x', {headers: {'x-long': 'x'.repeat(5000)}}, 431],
+	['a long body', '/load/x', {method: 'POST', body: 'x'.repeat(3_100_000)}, 413],
+] as const;
+for (const [name, path, options, status] of REFUSALS) {
+	test(`refused for good: ${name}`, async () => {
+		const reply = await hosts[0]!.send(path, options);
+		assert.equal(reply.status, status);
+		assert.ok((JSON.parse(reply.body) as {message: string}).message.length > 0);
+	});
+}
+
+test('a body that is too long to be kept is passed on as it comes', async () => {
+	const reply = await hosts[0]!.send('/load/x', {method: 'POST', body: 'x'.repeat(2_000_000)});
+	assert.equal(reply.body, 'POST /load/x 2000000');
+});
+
+test('what no worker runs is refused with a time to come back, and has not run', async () => {
+	for (const worker of workers) {
+		worker.fault = 'shed';
+	}
+
+	const reply = await hosts[0]!.send('/book/x', {method: 'POST', id: 'shed-1'});
+	assert.equal(reply.status, 503);
+	assert.ok(Number(reply.headers['retry-after']) > 0);
+	assert.equal(runsOf('shed-1'), 0);
+});
+
+test('what may run once and was sent is never sent again, and its outcome is told as unknown', async () => {
+	for (const worker of workers) {
+		worker.fault = 'reset';
+	}
+
+	const reply = await hosts[0]!.send('/book/x', {method: 'POST', id: 'once-1'});
+	assert.equal(reply.status, 502);
+	assert.equal(runsOf('once-1'), 1);
+});
+
+test('what may be repeated is tried at another worker', async () => {
+	const first = await hosts[0]!.send('/read/x', {headers: {'affinity-key': 'again'}});
+	const used = workers.find(({id}) => first.headers['server-signature'] === `sig-${id}`)!;
+	for (const fault of ['reset', 'fail'] as const) {
+		used.fault = fault;
+		const reply = await hosts[0]!.send('/read/x', {headers: {'affinity-key': 'again'}});
+		assert.equal(reply.status, 200, fault);
+		assert.notEqual(reply.headers['server-signature'], `sig-${used.id}`);
+	}
+});
+
+test('an answer without a length reaches the caller without one (MIXED, trouble-2)', async () => {
+	for (const worker of workers) {
+		worker.fault = 'unframed';
+	}
+
+	const reply = await hosts[0]!.send('/read/x');
+	assert.equal(reply.status, 200);
+	assert.equal(reply.body, 'GET /read/x 0');
+	assert.equal(reply.headers['content-length'], undefined);
+	assert.equal(reply.headers['transfer-encoding'], undefined);
+});
+
+test('entries that cannot be used name no worker, and the others hold', async () => {
+	store.put('servers', 'bad-1', 'no json at all');
+	store.put('servers', 'bad-2', {addr: 7});
+	store.put('servers', 'bad-3', {...workers[0]!.entry, status: {state: 'dancing', sequence: 1}});
+	await eventually('all three are logged', () => hosts.some(({lines}) => lines.filter(({event}) => event === 'unreadable-row').length >= 3));
+	assert.equal(hosts[0]!.host.state.fleet.size, 3);
+	for (const id of ['bad-1', 'bad-2', 'bad-3']) {
+		store.drop('servers', id);
+	}
+});
+
+test('a worker that is draining, or whose entry goes, gets nothing more from any host', async () => {
+	const [leaving] = workers;
+	for (const leave of [
+		() => {
+			store.put('servers', leaving!.id, {...leaving!.entry, status: {state: 'draining', sequence: 2, cold_remaining: '0ms'}});
+		},
+		() => {
+			store.drop('servers', leaving!.id);
+		},
+	]) {
+		leave();
+		await eventually('all hosts know', () => hosts.every(({host}) => {
+			const worker = host.state.fleet.get(leaving!.id);
+			return worker === undefined || !host.state.fleet.isOpen(worker);
+		}));
+		const before = leaving!.ran.length;
+		for (let index = 0; index < 12; index++) {
+			const {status} = await hosts[index % 3]!.send('/read/x', {headers: {'affinity-key': String(index)}});
+			assert.equal(status, 200);
+		}
+
+		assert.equal(leaving!.ran.length, before);
+		store.put('servers', leaving!.id, leaving!.entry);
+		await eventually('it is back', () => hosts.every(({host}) => {
+			const worker = host.state.fleet.get(leaving!.id);
+			return worker !== undefined && host.state.fleet.isOpen(worker);
+		}));
+	}
+});
+
+test('an evacuated zone gets nothing until it is taken back', async () => {
+	store.put('op', 'evacuate/a1', {});
+	await eventually('all hosts know', () => hosts.every(({host}) => host.state.fleet.evacuated.has('a1')));
+	const before = workers[0]!.ran.length;
+	for (let index = 0; index < 6; index++) {
+		await hosts[index % 3]!.send('/read/x', {headers: {'affinity-key': String(index)}});
+	}
+
+	assert.equal(workers[0]!.ran.length, before);
+	store.drop('op', 'evacuate/a1');
+	await eventually('it is back', () => hosts.every(({host}) => host.state.fleet.evacuated.size === 0));
+});
+
+for (const mood of [StoreMood.Busy, StoreMood.Silent]) {
+	test(`a host that the store turns away (${mood}) learns a new configuration from the others`, async () => {
+		door.mood = mood;
+		const wanted = setConfig([['new', 'a.example', `/new-${mood}/`, 'idempotent', '1500ms', '800ms', 1, 'board', 2, true, [], null]]);
+		await eventually('all have it in force', () => hosts.every(({host}) => host.state.table?.version === wanted));
+		const {status} = await hosts[1]!.send(`/new-${mood}/x`);
+		assert.equal(status, 200);
+	});
+}
+
+test('an invalid or older configuration is never put in force, and each finding is logged with its place', async () => {
+	const current = hosts[0]!.host.state.table!.version;
+	const invalid = usersConfig(current + 50, ['board', 'other'], [['bad', 'a.example', '/bad/', 'idempotent', '1500ms', '800ms', 1, 'nowhere', 2, true, [], null]]);
+	store.put('op', 'config', invalid);
+	await eventually('the finding is logged', () => hosts.some(({lines}) => lines.some(({event, message}) => event === 'unreadable-row' && String(message).includes('routes[3]: leads to nowhere'))));
+	store.put('op', 'config', usersConfig(1, ['other']));
+	store.put('op', 'evacuate/zz', {});
+	await eventually('later news has come', () => hosts.every(({host}) => host.state.fleet.evacuated.has('zz')));
+	assert.ok(hosts.every(({host}) => host.state.table!.version === current));
+	store.drop('op', 'evacuate/zz');
+});
+
+test('requests go on while the store is down, and its lost history is made up for', async () => {
+	store.mood = StoreMood.Busy;
+	await eventually('the loss is noticed', () => hosts.some(({lines}) => lines.some(({event}) => event === 'source-lost')));
+	const {status} = await hosts[0]!.send('/read/x');
+	assert.equal(status, 200);
+	store.compact();
+	store.put('op', 'evacuate/b1', {});
+	store.compact();
+	store.mood = StoreMood.Well;
+	await eventually('all hosts know', () => hosts.every(({host}) => host.state.fleet.evacuated.has('b1')));
+	store.drop('op', 'evacuate/b1');
+});
+
+test('a host that starts while the store is down learns all from a seed', async () => {
+	store.mood = StoreMood.Busy;
+	const late = await new RigHost('127.0.0.14', ports, store.address, {seeds: [IPS[0]!]}).start();
+	await eventually('it is ready', () => late.host.isReady && late.host.state.fleet.size === 3);
+	const {status} = await late.send('/read/x');
+	assert.equal(status, 200);
+	store.mood = StoreMood.Well;
+	await late.stop();
+});
+
+test('a host without a configuration refuses and is not ready', async () => {
+	const empty = await new UsersStore().start();
+	const [peerPort, ...others] = await freePorts(4);
+	const alone = await new RigHost('127.0.0.15', [peerPort!, ...others], empty.address).start();
+	const reply = await alone.send('/read/x');
+	assert.equal(reply.status, 503);
+	assert.ok(Number(reply.headers['retry-after']) > 0);
+	assert.equal((await send(alone.settings.readyAddress, '/v1/readiness')).status, 503);
+	await alone.stop();
+	await empty.stop();
+});
+
+test('a host that is stopped is named to nobody, serves on, and ends what is in flight', async () => {
+	const leaving = await new RigHost('127.0.0.16', ports, store.address).start();
+	const named = async () => {
+		const reply = await send(hosts[0]!.settings.directoryAddress, '/v1/resolve?name=a.example&zone=a1&region=a');
+		return (JSON.parse(reply.body) as {addresses: string[]}).addresses.includes(leaving.settings.entry.self.callerAddress);
+	};
+
+	await eventually('it is named', named);
+	for (const worker of workers) {
+		worker.fault = 'slow';
+	}
+
+	const inFlight = leaving.send('/book/x', {method: 'POST', id: 'stop-1'});
+	await eventually('it runs', () => runsOf('stop-1') === 1);
+	leaving.leave();
+	assert.equal((await send(leaving.settings.readyAddress, '/v1/readiness')).status, 503);
+	const meanwhile = await leaving.send('/read/x');
+	assert.equal(meanwhile.status, 200);
+	assert.equal(meanwhile.headers.connection, 'close');
+	const reply = await inFlight;
+	assert.equal(reply.status, 200);
+	assert.equal(reply.isCut, false);
+	await eventually('it is named no more', async () => !await named());
+	await leaving.stop();
+});
+
+test('work whose caller has left is ended where it may be repeated', async () => {
+	for (const worker of workers) {
+		worker.fault = 'slow';
+	}
+
+	const {request} = await import('node:http');
+	const [ip, port] = hosts[0]!.settings.entry.self.callerAddress.split(':');
+	const req = request({host: ip, port, path: '/read/x', headers: {host: 'a.example', 'request-id': 'left-1', 'request-deadline-ms': '1400', 'affinity-key': '7'}});
+	req.on('error', () => {});
+	req.end();
+	await eventually('it runs', () => runsOf('left-1') === 1);
+	req.destroy();
+	await eventually('the host has ended it', () => hosts[0]!.lines.some(({id, code}) => id === 'left-1' && code === 'caller-left'));
+});
