--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -9,11 +9,13 @@
 import HostList from './commands/host/list.js';
 import LedgerShow from './commands/ledger/show.js';
 import Lookup from './commands/lookup.js';
+import Trace from './commands/trace.js';
 import Undrain from './commands/undrain.js';
 
 /** Every command by its id; oclif reads this table. */
 export const commands = {
 	lookup: Lookup,
+	trace: Trace,
 	explain: Explain,
 	drain: Drain,
 	undrain: Undrain,
--- /dev/null
+++ b/packages/cli/src/commands/trace.ts
@@ -0,0 +1,43 @@
+import {readFileSync, readdirSync, statSync} from 'node:fs';
+import path from 'node:path';
+import {Args, Flags} from '@oclif/core';
+import {BaseCommand, ExitCode} from '../base.js';
+import {findTrace, readLines, type TraceLine} from '../trace.js';
+
+/** Span around a request in which other lines may have to do with it. */
+const DEFAULT_AROUND_MS = 3000;
+
+/** Follows a request through the logs of all hosts. */
+export default class Trace extends BaseCommand {
+	static override description = 'Shows what the logs say of a request: its own lines, and what its host learnt of the workers, the source and the configuration around it.';
+	static override examples = ['<%= config.bin %> trace 9c41d07be2a35f68 --logs logs/'];
+	static override args = {id: Args.string({required: true, description: 'the request\'s id'})};
+	static override flags = {
+		logs: Flags.string({required: true, description: 'a log file, or a folder of log files'}),
+		around: Flags.integer({default: DEFAULT_AROUND_MS, min: 0, description: 'span before and after the request, ms'}),
+	};
+
+	async run(): Promise<readonly TraceLine[]> {
+		const {args, flags} = await this.parse(Trace);
+		const lines = this.#listFiles(flags.logs).flatMap(file => readLines(readFileSync(file, 'utf8')));
+		const trace = findTrace(lines, args.id, flags.around);
+		if (trace.length === 0) {
+			this.error(`no line names request ${args.id} in ${flags.logs}`, {exit: ExitCode.Failed});
+		}
+
+		for (const {at, self, event, ...fields} of trace) {
+			this.log(`${new Date(at).toISOString()} ${self} ${event} ${JSON.stringify(fields)}`);
+		}
+
+		return trace;
+	}
+
+	#listFiles(place: string): string[] {
+		const stat = statSync(place, {throwIfNoEntry: false});
+		if (!stat) {
+			this.error(`${place}: no such file or folder`, {exit: ExitCode.BadInput});
+		}
+
+		return stat.isDirectory() ? readdirSync(place).toSorted().map(name => path.join(place, name)) : [place];
+	}
+}
--- /dev/null
+++ b/packages/cli/src/trace.ts
@@ -0,0 +1,52 @@
+/** One line of a host's log. */
+export type TraceLine = {
+	/** Unix ms. */
+	readonly at: number;
+	/** Id of the host. */
+	readonly self: string;
+	readonly event: string;
+} & Readonly<Record<string, unknown>>;
+
+/** What a host learns, and may explain what it did with a request. */
+const BACKGROUND = new Set(['config', 'evacuation', 'worker', 'worker-gone', 'check', 'source-lost', 'source-regained', 'history-lost', 'start', 'ready', 'leaving', 'left', 'host-heard', 'part-failed', 'beliefs']);
+
+/** Reads the JSON lines of a log; text before a line's JSON, such as a collector's own time, and other lines are passed over. */
+export function readLines(text: string): TraceLine[] {
+	const lines: TraceLine[] = [];
+	for (const line of text.split('\n')) {
+		const start = line.indexOf('{');
+		const parsed = start === -1 ? undefined : parseLine(line.slice(start));
+		if (parsed) {
+			lines.push(parsed);
+		}
+	}
+
+	return lines;
+}
+
+/** Lines of a request, with what its hosts learnt around it of its workers and of what concerns all requests, in order of time. */
+export function findTrace(lines: readonly TraceLine[], id: string, aroundMs: number): TraceLine[] {
+	const own = lines.filter(line => line.id === id);
+	const hosts = new Set(own.map(({self}) => self));
+	const workers = new Set(own.flatMap(line => workersOf(line)));
+	const related = lines.filter(line => {
+		const isNear = own.some(({at, ms}) => line.at >= at - Number(ms ?? 0) - aroundMs && line.at <= at + aroundMs);
+		const isOfWorker = line.worker === undefined || workers.has(String(line.worker));
+		return isNear && isOfWorker && hosts.has(line.self) && BACKGROUND.has(line.event);
+	});
+	return [...own, ...related].toSorted((a, b) => a.at - b.at);
+}
+
+function workersOf({attempts}: TraceLine): string[] {
+	return Array.isArray(attempts) ? attempts.map(attempt => String((attempt as {worker?: unknown}).worker)) : [];
+}
+
+function parseLine(text: string): TraceLine | undefined {
+	try {
+		const value = JSON.parse(text) as Partial<TraceLine>;
+		return typeof value.at === 'number' && typeof value.event === 'string' && typeof value.self === 'string' ? value as TraceLine : undefined;
+	} catch {
+		// A line that was cut, or of another program.
+		return undefined;
+	}
+}
--- /dev/null
+++ b/test/cli/trace.test.ts
@@ -0,0 +1,39 @@
+import assert from 'node:assert/strict';
+import {execFile} from 'node:child_process';
+import process from 'node:process';
+import {test} from 'node:test';
+import {fileURLToPath} from 'node:url';
+
+const CTL = fileURLToPath(new URL('../../packages/cli/bin/apricotctl.js', import.meta.url));
+const LOGS = fileURLToPath(new URL('../fixtures/logs', import.meta.url));
+
+async function trace(...args: string[]): Promise<{status: number; out: string; err: string}> {
+	return new Promise(resolve => {
+		execFile(process.execPath, [CTL, 'trace', ...args], {env: {...process.env, NO_COLOR: '1'}}, (error, out, err) => {
+			resolve({status: error ? Number(error.code) : 0, out, err});
+		});
+	});
+}
+
+// The three kinds of docs/OPERATIONS.md.
+for (const [id, events, cause] of [
+	['46cea3e8f5b3f4fe', ['source-lost', 'request', 'check'], 'Connect Timeout Error'],
+	['12c71bf4355afb31', ['request'], '"end":"timeout"'],
+	['ff9d21d948475c23', ['request'], '12 requests at the worker, 222 ms to wait'],
+] as const) {
+	test(`trace: from id ${id} to its cause`, async () => {
+		const {status, out} = await trace(id, '--logs', LOGS);
+		assert.equal(status, 0);
+		assert.deepEqual(out.trim().split('\n').map(line => line.split(' ')[2]), [...events]);
+		assert.ok(out.includes(cause), out);
+	});
+}
+
+test('trace: as JSON, for an unknown id, and for a place that is not there', async () => {
+	const {out} = await trace('12c71bf4355afb31', '--logs', LOGS, '--json');
+	assert.equal((JSON.parse(out) as Array<{code: string}>)[0]?.code, 'timeout');
+	assert.equal((await trace('none', '--logs', LOGS)).status, 1);
+	const missing = await trace('none', '--logs', '/nowhere');
+	assert.equal(missing.status, 2);
+	assert.match(missing.err, /nowhere: no such file or folder/);
+});
