--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -9,7 +9,9 @@
 export {
 	SharedState, type CatchUp, type Horizon, type PeerHorizon, type Question, type StateListener,
 } from './state/shared.js';
-export {isReadDue, type FollowOptions} from './state/follow.js';
+export {
+	Follower, isReadDue, type FollowDeps, type FollowOptions,
+} from './state/follow.js';
 export {Members, type Member} from './peer/members.js';
 export {
 	decodeBeat, encodeBeat, type Beat,
--- a/packages/entry/src/state/shared.ts
+++ b/packages/entry/src/state/shared.ts
@@ -190,7 +190,10 @@
 		return {operations: askOperations ?? Number.MAX_SAFE_INTEGER, workers: askWorkers ?? Number.MAX_SAFE_INTEGER};
 	}
 
-	/** Takes a peer's answer. @param askedAtMs monotonic ms at which the question was sent. */
+	/**
+	 * Takes a peer's answer.
+	 * @param askedAtMs monotonic ms at which the question was sent.
+	 */
 	applyCatchUp(news: CatchUp, askedAtMs: number): void {
 		if (news.operations) {
 			this.applyOperations(news.operations, askedAtMs - news.operationsAgeMs, news.operationsChanged);
--- a/packages/steering/src/fleet.ts
+++ b/packages/steering/src/fleet.ts
@@ -36,12 +36,6 @@
 	lapsesAtMs: number | undefined;
 };
 
-/** A change of the set of workers. */
-export type FleetChange = {
-	readonly changed: readonly WorkerEntry[];
-	readonly removed: readonly string[];
-};
-
 /** Added to what a worker says of its cold time, for the time that the entry took to get here, ms. */
 const COLD_MARGIN_MS = 150;
 
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -4,7 +4,7 @@
 export {RouteTable} from './routes.js';
 export {ServiceSplit} from './split.js';
 export {
-	Fleet, WorkerState, type FleetChange, type Worker, type WorkerEntry,
+	Fleet, WorkerState, type Worker, type WorkerEntry,
 } from './fleet.js';
 export {WarmObjects, Warmth} from './warmth.js';
 export {LoadView} from './load.js';
--- a/packages/steering/src/load.ts
+++ b/packages/steering/src/load.ts
@@ -51,7 +51,7 @@
 		this.#peers.set(peer, {counts, atMs});
 	}
 
-	/** Counts one request that a peer has begun since its last counts. */
+	/** Leaves a peer's counts out from now on. */
 	forgetPeer(peer: string): void {
 		this.#peers.delete(peer);
 	}
--- /dev/null
+++ b/test/entry/follow.test.ts
@@ -0,0 +1,117 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {FakeClock} from '@apricotwood/clock';
+import {Follower, SharedState, type SteeringSource} from '@apricotwood/entry';
+import {Metrics, SILENT_LOG} from '@apricotwood/telemetry';
+import {SeededRandom} from '../fixtures/seeded.js';
+import {REGIONS, makeWorker} from '../fixtures/workers.js';
+
+/** A source that can be made to fail, or not to answer. */
+class FakeSource implements SteeringSource {
+	reads = 0;
+	mood: 'well' | 'fails' | 'silent' = 'well';
+	#revision = 1;
+
+	async readWorkers(_after: number | undefined, signal: AbortSignal) {
+		this.reads++;
+		await this.#answer(signal);
+		return {revision: ++this.#revision, isWhole: true, changed: [makeWorker('w')], removed: []};
+	}
+
+	async readOperations(_after: number | undefined, signal: AbortSignal) {
+		await this.#answer(signal);
+		return {
+			revision: ++this.#revision, isWhole: true, config: undefined, evacuate: [], restore: [],
+		};
+	}
+
+	async register() {}
+
+	async readHosts() {
+		return [];
+	}
+
+	async #answer(signal: AbortSignal): Promise<void> {
+		if (this.mood === 'fails') {
+			throw new Error('busy');
+		}
+
+		if (this.mood === 'silent') {
+			await new Promise((_resolve, reject) => {
+				signal.addEventListener('abort', () => {
+					reject(signal.reason as Error);
+				});
+			});
+		}
+	}
+}
+
+function makeFollower(rank = 0) {
+	const clock = new FakeClock();
+	const source = new FakeSource();
+	const state = new SharedState(clock, SILENT_LOG, {onWorkerStart() {}, onChange() {}}, REGIONS);
+	const news: number[] = [];
+	const follower = new Follower({
+		clock,
+		random: new SeededRandom(1),
+		log: SILENT_LOG,
+		metrics: new Metrics({host: undefined, port: 0, tags: {}}),
+		source,
+		state,
+		rank: () => rank,
+		onNews() {
+			news.push(clock.monotonic());
+		},
+	});
+	return {
+		clock, source, state, follower, news,
+	};
+}
+
+test('follow: the first host reads twice a second, and tells only news', async () => {
+	const {clock, source, state, follower, news} = makeFollower();
+	const stop = new AbortController();
+	const run = follower.run(stop.signal);
+	await clock.advanceAsync(5000);
+	assert.ok(source.reads >= 9 && source.reads <= 11, String(source.reads));
+	assert.equal(news.length, 1);
+	assert.ok(state.ageMs() < 600);
+	stop.abort();
+	await run;
+});
+
+test('follow: a later host reads only when what it knows grows old', async () => {
+	const {clock, source, state, follower} = makeFollower(3);
+	const stop = new AbortController();
+	const run = follower.run(stop.signal);
+	await clock.advanceAsync(100);
+	assert.equal(source.reads, 1, 'it knows nothing yet');
+	for (let step = 0; step < 20; step++) {
+		await clock.advanceAsync(200);
+		const {operations, workers} = state.tell();
+		state.compare({...operations, ageMs: 300}, {...workers, ageMs: 300});
+	}
+
+	assert.equal(source.reads, 1, 'it hears from its peers');
+	await clock.advanceAsync(1500);
+	assert.equal(source.reads, 2);
+	stop.abort();
+	await run;
+});
+
+for (const mood of ['fails', 'silent'] as const) {
+	test(`follow: a source that ${mood === 'fails' ? 'fails' : 'is silent'} is asked less and less often, and again soon after`, async () => {
+		const {clock, source, follower} = makeFollower();
+		const stop = new AbortController();
+		source.mood = mood;
+		const run = follower.run(stop.signal);
+		await clock.advanceAsync(10_000);
+		assert.ok(source.reads >= 3 && source.reads <= 13, String(source.reads));
+		assert.equal(follower.isFailing, true);
+		source.mood = 'well';
+		await clock.advanceAsync(3000);
+		assert.equal(follower.isFailing, false);
+		stop.abort();
+		await run;
+	});
+}
--- a/test/steering/placer.test.ts
+++ b/test/steering/placer.test.ts
@@ -129,7 +129,7 @@
 type Running = {worker: string; endMs: number};
 
 /** Replays a load on workers with slots and a memory; counts answers inside the target. */
-function replay(choose: (object: number, nowMs: number) => string | undefined, perSecond: (nowMs: number) => number, hooks: {begin: (id: string, object: number) => void; end: (id: string) => void}): number {
+function replay(choose: (object: number, nowMs: number) => string | undefined, perSecond: (nowMs: number) => number, hooks: {begin: (id: string, object: number, nowMs: number) => void; end: (id: string) => void}): number {
 	const random = new SeededRandom(42);
 	const running: Running[] = [];
 	const free = new Map<string, number[]>(WORKERS.map(({id, slots}) => [id, Array.from<number>({length: slots}).fill(0)]));
@@ -163,7 +163,7 @@
 		const endMs = Math.max(nowMs, slots[slot]!) + (isWarm ? 264 : 880);
 		slots[slot] = endMs;
 		running.push({worker: id, endMs});
-		hooks.begin(id, object);
+		hooks.begin(id, object, nowMs);
 		inTime += Number(endMs - nowMs <= 600);
 	}
 
@@ -172,14 +172,15 @@
 
 const WORKERS: readonly WorkerEntry[] = Array.from({length: 16}, (_, index) => makeWorker(`w${index}`, {zone: ['a1', 'a2', 'b1', 'b2'][index % 4]}));
 
-/** The product's own decisions on the replayed load. */
-function replayPlacer(perSecond: (nowMs: number) => number): number {
+/** The product's own decisions on the replayed load. @param onSend told of each request's worker. */
+function replayPlacer(perSecond: (nowMs: number) => number, onSend: (id: string, nowMs: number) => void = () => {}): number {
 	const parts = makePlacer(WORKERS);
 	return replay((object, nowMs) => {
 		const {worker} = parts.placer.place(makeRequest({object: object * 2_654_435, targetAtMs: nowMs + 600, endAtMs: nowMs + 1200, waitUntilMs: nowMs}), nowMs);
 		return worker?.entry.id;
 	}, perSecond, {
-		begin(id, object) {
+		begin(id, object, nowMs) {
+			onSend(id, nowMs);
 			parts.load.begin(parts.fleet.get(id)!.hash);
 			parts.warm.record(parts.fleet.get(id)!.hash, object * 2_654_435);
 		},
@@ -214,3 +215,20 @@
 		assert.ok(own > naive + 0.2, `own ${own.toFixed(3)}, naive ${naive.toFixed(3)}`);
 	});
 }
+
+test('placer: between windows of 2 s no more than 0.15 of a region\'s requests change the region that serves them', () => {
+	const windows: Array<{near: number; all: number}> = [];
+	const zones = new Map(WORKERS.map(({id, zone}) => [id, zone]));
+	replayPlacer(nowMs => 190 * (1 + (0.5 * Math.sin(nowMs / 5700))), (id, nowMs) => {
+		const window = windows[Math.floor(nowMs / 2000)] ??= {near: 0, all: 0};
+		window.all++;
+		window.near += Number(zones.get(id)!.startsWith('a'));
+	});
+	for (const [index, {near, all}] of windows.entries()) {
+		const before = windows[index - 1];
+		if (before) {
+			const change = Math.abs((near / all) - (before.near / before.all));
+			assert.ok(change <= 0.15, `window ${index}: ${change.toFixed(3)}`);
+		}
+	}
+});
