--- a/packages/cli/src/trace.ts
+++ b/packages/cli/src/trace.ts
@@ -8,7 +8,11 @@
 } & Readonly<Record<string, unknown>>;
 
 /** What a host learns, and may explain what it did with a request. */
-const BACKGROUND = new Set(['config', 'evacuation', 'worker', 'worker-gone', 'check', 'source-lost', 'source-regained', 'history-lost', 'start', 'ready', 'leaving', 'left', 'host-heard', 'part-failed', 'beliefs']);
+const BACKGROUND = new Set([
+	'config', 'evacuation', 'worker', 'worker-gone', 'check',
+	'source-lost', 'source-regained', 'history-lost',
+	'start', 'ready', 'leaving', 'left', 'host-heard', 'part-failed', 'beliefs',
+]);
 
 /** Reads the JSON lines of a log; text before a line's JSON, such as a collector's own time, and other lines are passed over. */
 export function readLines(text: string): TraceLine[] {
@@ -31,7 +35,7 @@
 	const workers = new Set(own.flatMap(line => workersOf(line)));
 	const related = lines.filter(line => {
 		const isNear = own.some(({at, ms}) => line.at >= at - Number(ms ?? 0) - aroundMs && line.at <= at + aroundMs);
-		const isOfWorker = line.worker === undefined || workers.has(String(line.worker));
+		const isOfWorker = line.worker === undefined || (typeof line.worker === 'string' && workers.has(line.worker));
 		return isNear && isOfWorker && hosts.has(line.self) && BACKGROUND.has(line.event);
 	});
 	return [...own, ...related].toSorted((a, b) => a.at - b.at);
--- a/test/steering/placer.test.ts
+++ b/test/steering/placer.test.ts
@@ -129,7 +129,11 @@
 type Running = {worker: string; endMs: number};
 
 /** Replays a load on workers with slots and a memory; counts answers inside the target. */
-function replay(choose: (object: number, nowMs: number) => string | undefined, perSecond: (nowMs: number) => number, hooks: {begin: (id: string, object: number, nowMs: number) => void; end: (id: string) => void}): number {
+function replay(
+	choose: (object: number, nowMs: number) => string | undefined,
+	perSecond: (nowMs: number) => number,
+	hooks: {begin: (id: string, object: number, nowMs: number) => void; end: (id: string) => void},
+): number {
 	const random = new SeededRandom(42);
 	const running: Running[] = [];
 	const free = new Map<string, number[]>(WORKERS.map(({id, slots}) => [id, Array.from<number>({length: slots}).fill(0)]));
@@ -220,7 +224,9 @@
 	const windows: Array<{near: number; all: number}> = [];
 	const zones = new Map(WORKERS.map(({id, zone}) => [id, zone]));
 	replayPlacer(nowMs => 190 * (1 + (0.5 * Math.sin(nowMs / 5700))), (id, nowMs) => {
-		const window = windows[Math.floor(nowMs / 2000)] ??= {near: 0, all: 0};
+		const index = Math.floor(nowMs / 2000);
+		const window = windows[index] ?? {near: 0, all: 0};
+		windows[index] = window;
 		window.all++;
 		window.near += Number(zones.get(id)!.startsWith('a'));
 	});
