--- a/packages/cli/src/trace.ts
+++ b/packages/cli/src/trace.ts
@@ -9,9 +9,21 @@
 
 /** What a host learns, and may explain what it did with a request. */
 const BACKGROUND = new Set([
-	'config', 'evacuation', 'worker', 'worker-gone', 'check',
-	'source-lost', 'source-regained', 'history-lost',
-	'start', 'ready', 'leaving', 'left', 'host-heard', 'part-failed', 'beliefs',
+	'config',
+	'evacuation',
+	'worker',
+	'worker-gone',
+	'check',
+	'source-lost',
+	'source-regained',
+	'history-lost',
+	'start',
+	'ready',
+	'leaving',
+	'left',
+	'host-heard',
+	'part-failed',
+	'beliefs',
 ]);
 
 /** Reads the JSON lines of a log; text before a line's JSON, such as a collector's own time, and other lines are passed over. */
