fix(steering): a worker that joins learns some objects at once

Change: a worker that knows fewer than four objects gets the next one of which it is the first in rank. A test that replays it failed before.

--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -42,6 +42,8 @@
 	Warm = 'warm',
 	/** No worker knows the object yet. */
 	FirstCopy = 'first-copy',
+	/** The worker has joined and learns its first objects. */
+	Join = 'join',
 	/** The workers that know the object are full. */
 	NewCopy = 'new-copy',
 	/** Late, but the caller comes back and does not come again. */
@@ -109,6 +111,8 @@
 const NEW_COPY_LOAD = 0.75;
 /** Work at a new worker takes longer, which an overload does not bear: above this part of all slots no worker gets a new object. */
 const NEW_COPY_SERVICE_LOAD = 0.85;
+/** Objects that a worker learns at once when it has joined. */
+const JOIN_OBJECTS = 4;
 /** Shortest time after which room is said to be expected, ms. */
 const MIN_ROOM_MS = 50;
 /** Room at a service without usable workers, ms. */
@@ -157,6 +161,11 @@
 
 		const estimates = this.#rank(req, warmed).map(worker => this.#estimate(req, worker, nowMs));
 		const warm = cheapest(estimates.filter(({isWarm}) => isWarm));
+		const [first] = estimates;
+		if (warm && first && this.#mayJoin(first)) {
+			return send(first, PlacementReason.Join);
+		}
+
 		if (warm?.isInTime && hasRoom(warm, MAX_QUEUE_FACTOR)) {
 			return send(warm, PlacementReason.Warm);
 		}
@@ -209,6 +218,15 @@
 		return Math.max(1, whole * Math.min(1, nearSlots * regions.size / Math.max(1, slots)));
 	}
 
+	/**
+	 * Whether a worker that knows next to nothing gets an object of which it is
+	 * the first in rank. Without this a worker that joins would get nothing until
+	 * the others are full, and be cold just then.
+	 */
+	#mayJoin(first: Estimate): boolean {
+		return !first.isWarm && first.isUseful && hasRoom(first, NEW_COPY_LOAD) && this.parts.warm.known(first.worker.hash) < JOIN_OBJECTS;
+	}
+
 	/** The first worker in rank that may learn the object. */
 	#findFresh({service}: PlacementRequest, estimates: readonly Estimate[], warm: Estimate | undefined, workers: readonly Worker[], nowMs: number): Estimate | undefined {
 		const cold = estimates.filter(({isWarm, isUseful}) => !isWarm && isUseful);
--- a/packages/steering/src/warmth.ts
+++ b/packages/steering/src/warmth.ts
@@ -30,6 +30,10 @@
 		}
 	}
 
+	get size(): number {
+		return this.#objects.size;
+	}
+
 	/** Objects that were handled after this one; `undefined` when it is not known. */
 	distance(object: number): number | undefined {
 		if (!this.#objects.has(object)) {
@@ -79,6 +83,11 @@
 		recent.touch(object);
 	}
 
+	/** Number of objects that the worker is known to have handled. */
+	known(worker: number): number {
+		return this.#byWorker.get(worker)?.size ?? 0;
+	}
+
 	distance(worker: number, object: number): number | undefined {
 		return this.#byWorker.get(worker)?.distance(object);
 	}
--- a/test/steering/placer.test.ts
+++ b/test/steering/placer.test.ts
@@ -49,6 +49,25 @@
 	assert.notEqual(rejected.verdict, Verdict.Send, 'cold work would make the overload worse');
 });
 
+test('placer: a worker that joins learns some objects although the others have room, and no more than some (quiet-1 of both sites)', () => {
+	const parts = makePlacer(SIX);
+	for (let object = 0; object < 90; object++) {
+		warmUp(parts, makeRequest({object: object * 2_654_435}));
+	}
+
+	parts.fleet.put(makeWorker('joined', {bornMs: 7}), 100);
+	let joined = 0;
+	for (let round = 0; round < 3; round++) {
+		for (let object = 0; object < 90; object++) {
+			const {worker, reason} = parts.placer.place(makeRequest({object: object * 2_654_435}), 200);
+			parts.warm.record(worker!.hash, object * 2_654_435);
+			joined += Number(reason === PlacementReason.Join);
+		}
+	}
+
+	assert.equal(joined, 4);
+});
+
 test('placer: full workers make a request wait while it can be in time, then reject it', () => {
 	const parts = makePlacer([makeWorker('w')]);
 	warmUp(parts, makeRequest());
