--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -417,10 +417,8 @@
 	#callerLeft(): void {
 		this.#hasLeft = true;
 		this.#wake?.();
-		// What may not be repeated goes on once it was sent: its caller may want it to have been done.
-		if (this.route.kind === RequestKind.Idempotent || this.#exchange?.wasSent === false) {
-			this.#exchange?.cancel();
-		}
+		// What is on its way would reach the worker after its caller has gone; whether it has run stays unknown either way.
+		this.#exchange?.cancel();
 	}
 
 	#end(rejection: Rejection | undefined): void {
--- a/test/entry/whole-path.test.ts
+++ b/test/entry/whole-path.test.ts
@@ -284,17 +284,19 @@
 	await leaving.stop();
 });
 
-test('work whose caller has left is ended where it may be repeated', async () => {
-	for (const worker of workers) {
-		worker.fault = 'slow';
-	}
+for (const [method, path] of [['GET', '/read/x'], ['POST', '/book/x']] as const) {
+	test(`work whose caller has left is ended: ${method}`, async () => {
+		for (const worker of workers) {
+			worker.fault = 'slow';
+		}
 
-	const {request} = await import('node:http');
-	const [ip, port] = hosts[0]!.settings.entry.self.callerAddress.split(':');
-	const req = request({host: ip, port, path: '/read/x', headers: {host: 'a.example', 'request-id': 'left-1', 'request-deadline-ms': '1400', 'affinity-key': '7'}});
-	req.on('error', () => {});
-	req.end();
-	await eventually('it runs', () => runsOf('left-1') === 1);
-	req.destroy();
-	await eventually('the host has ended it', () => hosts[0]!.lines.some(({id, code}) => id === 'left-1' && code === 'caller-left'));
-});
+		const {request} = await import('node:http');
+		const [ip, port] = hosts[0]!.settings.entry.self.callerAddress.split(':');
+		const req = request({host: ip, port, path, method, headers: {host: 'a.example', 'request-id': `left-${method}`, 'request-deadline-ms': '1400', 'affinity-key': '7'}});
+		req.on('error', () => {});
+		req.end();
+		await eventually('it runs', () => runsOf(`left-${method}`) === 1);
+		req.destroy();
+		await eventually('the host has ended it', () => hosts[0]!.lines.some(({id, code}) => id === `left-${method}` && code === 'caller-left'));
+	});
+}
