--- a/test/entry/whole-path.test.ts
+++ b/test/entry/whole-path.test.ts
@@ -30,7 +30,7 @@
 
 before(async () => {
 	await store.start();
-	ports = await freePorts(4);
+	ports = await freePorts(5);
 	setConfig();
 	for (const worker of workers) {
 		await worker.start();
@@ -248,7 +248,7 @@
 
 test('a host without a configuration refuses and is not ready', async () => {
 	const empty = await new UsersStore().start();
-	const [peerPort, ...others] = await freePorts(4);
+	const [peerPort, ...others] = await freePorts(5);
 	const alone = await new RigHost('127.0.0.15', [peerPort!, ...others], empty.address).start();
 	const reply = await alone.send('/read/x');
 	assert.equal(reply.status, 503);
