--- a/packages/steering/src/fleet.ts
+++ b/packages/steering/src/fleet.ts
@@ -42,7 +42,6 @@
 /** All workers and evacuated availability zones that this host knows. Instants are monotonic ms. */
 export class Fleet {
 	readonly #workers = new Map<string, Worker>();
-	readonly #byHash = new Map<number, Worker>();
 	readonly #byService = new Map<string, Worker[]>();
 	#evacuated = new Set<string>();
 
@@ -65,10 +64,6 @@
 		return this.#workers.get(id);
 	}
 
-	findByHash(hash: number): Worker | undefined {
-		return this.#byHash.get(hash);
-	}
-
 	/** Workers of a service, whether usable or not. */
 	ofService(service: string): readonly Worker[] {
 		return this.#byService.get(service) ?? [];
@@ -91,7 +86,6 @@
 		}
 
 		this.#workers.set(entry.id, worker);
-		this.#byHash.set(worker.hash, worker);
 		this.#reindex();
 		return isNewLife;
 	}
@@ -103,7 +97,6 @@
 		}
 
 		this.#workers.delete(id);
-		this.#byHash.delete(worker.hash);
 		this.#reindex();
 		return true;
 	}
--- a/packages/steering/src/load.ts
+++ b/packages/steering/src/load.ts
@@ -51,11 +51,6 @@
 		this.#peers.set(peer, {counts, atMs});
 	}
 
-	/** Leaves a peer's counts out from now on. */
-	forgetPeer(peer: string): void {
-		this.#peers.delete(peer);
-	}
-
 	/** @param total requests at the worker, running and waiting, as it said itself. */
 	recordReport(worker: number, total: number, nowMs: number): void {
 		this.#reports.set(worker, {others: Math.max(0, total - this.own(worker)), atMs: nowMs});
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -174,7 +174,7 @@
 			return send(warm, req.isReturning ? PlacementReason.Return : PlacementReason.FreeSlot);
 		}
 
-		const fresh = this.#findFresh(req, estimates, warm, warmed, nowMs);
+		const fresh = this.#findFresh(estimates, warm, warmed, nowMs);
 		if (fresh) {
 			return send(fresh, warm ? PlacementReason.NewCopy : PlacementReason.FirstCopy);
 		}
@@ -228,7 +228,7 @@
 	}
 
 	/** The first worker in rank that may learn the object. */
-	#findFresh({service}: PlacementRequest, estimates: readonly Estimate[], warm: Estimate | undefined, workers: readonly Worker[], nowMs: number): Estimate | undefined {
+	#findFresh(estimates: readonly Estimate[], warm: Estimate | undefined, workers: readonly Worker[], nowMs: number): Estimate | undefined {
 		const cold = estimates.filter(({isWarm, isUseful}) => !isWarm && isUseful);
 		if (!warm) {
 			return cold.find(estimate => hasRoom(estimate, 1));
