feat(entry): connections of workers that are gone are closed; idle ones stay within the workers' limit

A worker whose entry goes is dropped from the pool, and forgotten by memory, judge and times. Each host keeps its part of half of a worker's connections idle, at most 8: 8 at 87 hosts and 1,740 connections, 2 at 300.

--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -19,7 +19,7 @@
 import {Follower} from '../state/follow.js';
 import {SharedState} from '../state/shared.js';
 import {Checks} from '../upstream/checks.js';
-import {ConnectionPool} from '../upstream/pool.js';
+import {ConnectionPool, shareIdle} from '../upstream/pool.js';
 import {HostEvent, HostLife, HostPhase} from './phase.js';
 
 export type EntrySettings = {
@@ -95,6 +95,10 @@
 			onWorkerStart: id => {
 				this.#forgetWorker(id);
 			},
+			onWorkerGone: id => {
+				this.#forgetWorker(id);
+				this.#pool.drop(id);
+			},
 			onChange: () => {
 				this.#stateChanged();
 			},
@@ -131,6 +135,7 @@
 			waiting: this.#waiting,
 			running: this.#running,
 			maxBodyBytes: () => this.state.table?.config.limits.maxBodyBytes ?? 0,
+			maxIdle: service => shareIdle(this.state.table?.service(service)?.maxConnections, hosts()),
 			hosts,
 			version: () => this.state.table?.version,
 			isLeaving: () => this.life.phase === HostPhase.Leaving || this.life.phase === HostPhase.Closing,
@@ -355,11 +360,9 @@
 
 	/** What was known of an earlier life of a worker does not hold for the new one. */
 	#forgetWorker(id: string): void {
-		const worker = this.state.fleet.get(id);
-		if (worker) {
-			this.#warm.forget(worker.hash);
-			this.#judge.forget(worker.hash);
-			this.#times.forget(worker.hash);
-		}
+		const hash = hashText(id);
+		this.#warm.forget(hash);
+		this.#judge.forget(hash);
+		this.#times.forget(hash);
 	}
 }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -21,3 +21,4 @@
 export {
 	Exchange, ExchangeEnd, type AnswerHead, type AnswerSink, type ExchangeRequest, type ExchangeResult,
 } from './upstream/exchange.js';
+export {ConnectionPool, shareIdle} from './upstream/pool.js';
--- a/packages/entry/src/request/parts.ts
+++ b/packages/entry/src/request/parts.ts
@@ -35,6 +35,8 @@
 	readonly waiting: WaitingList<() => void>;
 	readonly running: Set<RunningAttempt>;
 	readonly maxBodyBytes: () => number;
+	/** Idle connections that may be kept for each worker of a service. */
+	readonly maxIdle: (service: string) => number;
 	/** Hosts that share workers and budgets, this one included. */
 	readonly hosts: () => number;
 	/** Version of the configuration in force, for the log. */
--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -256,7 +256,7 @@
 		load.end(hash);
 		this.#exchange = undefined;
 		if (result.isReusable) {
-			pool.release(entry.id, entry.address, connection);
+			pool.release(entry.id, entry.address, connection, this.parts.maxIdle(this.#service));
 		} else {
 			connection.close();
 		}
--- a/packages/entry/src/state/shared.ts
+++ b/packages/entry/src/state/shared.ts
@@ -64,6 +64,8 @@
 export interface StateListener {
 	/** A worker is new, or started anew. */
 	onWorkerStart(id: string): void;
+	/** A worker is not registered any more. */
+	onWorkerGone(id: string): void;
 	onChange(): void;
 }
 
@@ -316,6 +318,7 @@
 	}
 
 	#recordRemoval(id: string, revision: number): void {
+		this.listener.onWorkerGone(id);
 		this.#changedAt.delete(id);
 		this.#removals.push({id, revision});
 		if (this.#removals.length > MAX_REMOVALS) {
--- a/packages/entry/src/upstream/pool.ts
+++ b/packages/entry/src/upstream/pool.ts
@@ -10,8 +10,10 @@
 const SETTLE_MS = 30;
 /** After a stray answer, or a kept connection that broke, the worker's connections are handled with care for this long, ms. */
 const CAUTION_MS = 10_000;
-/** Idle connections kept for each worker. */
+/** Most idle connections that a host keeps for each worker. */
 const MAX_IDLE = 8;
+/** Part of a worker's connections that may lie idle, all hosts together. */
+const IDLE_PART = 0.5;
 
 type WorkerConnections = {
 	readonly idle: Connection[];
@@ -19,6 +21,14 @@
 	brokenUntilMs: number;
 };
 
+/**
+ * Idle connections that one of `hosts` hosts may keep for a worker.
+ * @param maxConnections that the worker takes from all hosts; `undefined` where it is not told.
+ */
+export function shareIdle(maxConnections: number | undefined, hosts: number): number {
+	return maxConnections === undefined ? MAX_IDLE : Math.min(MAX_IDLE, Math.floor(maxConnections * IDLE_PART / hosts));
+}
+
 /** Connections to workers, by the worker's id and address. */
 export class ConnectionPool {
 	readonly #workers = new Map<string, WorkerConnections>();
@@ -55,10 +65,13 @@
 		});
 	}
 
-	/** Takes back a connection whose exchange ended as it should. */
-	release(worker: string, address: string, connection: Connection): void {
+	/**
+	 * Takes back a connection whose exchange ended as it should.
+	 * @param maxIdle idle connections that this host may keep for the worker, see `shareIdle`.
+	 */
+	release(worker: string, address: string, connection: Connection, maxIdle = MAX_IDLE): void {
 		const {idle} = this.#of(worker, address);
-		if (connection.isClosed || idle.length >= MAX_IDLE) {
+		if (connection.isClosed || idle.length >= maxIdle) {
 			connection.close();
 			return;
 		}
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -2,7 +2,7 @@
 import type {StatsD} from 'hot-shots';
 
 // The library's index also loads its WebAssembly build and its log format.
-const Int32Histogram = int32.default;
+const {default: Int32Histogram} = int32;
 
 /** Longest latency that histograms tell apart, microseconds. */
 const MAX_LATENCY_US = 600_000_000;
@@ -75,7 +75,7 @@
 
 	async close(): Promise<void> {
 		this.report();
-		const client = this.client;
+		const {client} = this;
 		if (!client) {
 			return;
 		}
--- a/test/entry/follow.test.ts
+++ b/test/entry/follow.test.ts
@@ -49,7 +49,7 @@
 function makeFollower(rank = 0) {
 	const clock = new FakeClock();
 	const source = new FakeSource();
-	const state = new SharedState(clock, SILENT_LOG, {onWorkerStart() {}, onChange() {}}, REGIONS);
+	const state = new SharedState(clock, SILENT_LOG, {onWorkerStart() {}, onWorkerGone() {}, onChange() {}}, REGIONS);
 	const news: number[] = [];
 	const follower = new Follower({
 		clock,
--- a/test/entry/state.test.ts
+++ b/test/entry/state.test.ts
@@ -10,7 +10,7 @@
 import {REGIONS, makeRoute, makeWorker} from '../fixtures/workers.js';
 
 function makeState(clock: FakeClock): SharedState {
-	return new SharedState(clock, SILENT_LOG, {onWorkerStart() {}, onChange() {}}, REGIONS);
+	return new SharedState(clock, SILENT_LOG, {onWorkerStart() {}, onWorkerGone() {}, onChange() {}}, REGIONS);
 }
 
 function makeConfig(version: number): SteeringConfig {
