feat(entry): two relays a zone pass on what hosts tell each other

All-to-all messages do not reach the grown installations: 87 hosts would send 37,000 datagrams a second. In each availability zone the first two living hosts by hash hear all of their zone, tell the relays of the other zones, and pass on what those tell; zones of one or two hosts speak to all others directly, as before. A relay that is silent for 0.7 s is stood in for; nothing is agreed on.

--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -11,6 +11,7 @@
 import type {Dialect} from '../dialect.js';
 import {Beats} from '../peer/beats.js';
 import {CatchUpClient, serveCatchUp} from '../peer/catch-up.js';
+import {UdpChannel} from '../peer/channel.js';
 import {Members} from '../peer/members.js';
 import {Ingress} from '../request/ingress.js';
 import type {RunningAttempt, SessionParts} from '../request/parts.js';
@@ -163,11 +164,11 @@
 			clock,
 			log,
 			metrics,
-			self,
 			members: this.members,
 			state: this.state,
 			load,
 			warm: this.#warm,
+			channel: new UdpChannel(log, metrics),
 			catchUp: this.#catchUp,
 			isReady: () => this.isReady,
 			isSourceFailing: () => this.#follower.isFailing,
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -14,8 +14,11 @@
 } from './state/follow.js';
 export {Members, type Member} from './peer/members.js';
 export {
-	decodeBeat, encodeBeat, type Beat,
+	decodeBeat, encodeBeat, type Beat, type HeardHost, type ZonePart,
 } from './peer/message.js';
+export {Beats, type BeatsDeps, type CatchUpSource} from './peer/beats.js';
+export {UdpChannel, type Address, type Channel} from './peer/channel.js';
+export {Relays, type Audience} from './peer/relays.js';
 export {Patience} from './request/patience.js';
 export {Connection} from './upstream/connection.js';
 export {
--- a/packages/entry/src/peer/members.ts
+++ b/packages/entry/src/peer/members.ts
@@ -5,8 +5,10 @@
 export type Member = {
 	readonly entry: HostEntry;
 	readonly hash: number;
-	/** Monotonic ms of its last message; `-Infinity` before the first. */
+	/** Monotonic ms at which it surely lived, as it or a relay told; `-Infinity` before the first word. */
 	heardAtMs: number;
+	/** Monotonic ms of the last message that came from itself. */
+	directAtMs: number;
 	/** Whether it says that it serves callers. */
 	isReady: boolean;
 	/** Whether it says that it cannot read the source. */
@@ -18,11 +20,12 @@
 
 /** All other hosts that this one knows of. Instants are monotonic ms. */
 export class Members {
-	readonly #members = new Map<string, Member>();
-	readonly #hash: number;
+	readonly hash: number;
+	readonly #members = new Map<number, Member>();
+	readonly #byZone = new Map<string, Member[]>();
 
-	constructor(private readonly self: HostEntry) {
-		this.#hash = hashText(self.id);
+	constructor(readonly self: HostEntry) {
+		this.hash = hashText(self.id);
 	}
 
 	/** Registered hosts, this one included, whether heard or not. */
@@ -34,31 +37,36 @@
 		return this.#members.values();
 	}
 
-	findByAddress(ip: string, port: number): Member | undefined {
-		for (const member of this.#members.values()) {
-			if (member.entry.ip === ip && member.entry.peerPort === port) {
-				return member;
-			}
-		}
+	zones(): Iterable<string> {
+		return this.#byZone.keys();
+	}
 
-		return undefined;
+	/** Other hosts of an availability zone, by hash. */
+	ofZone(zone: string): readonly Member[] {
+		return this.#byZone.get(zone) ?? [];
+	}
+
+	find(hash: number): Member | undefined {
+		return this.#members.get(hash);
 	}
 
 	/** Takes a host's entry. @returns whether it was not known, or is a newer process. */
 	put(entry: HostEntry): boolean {
-		const before = this.#members.get(entry.id);
-		if (entry.id === this.self.id || (before && before.entry.startedMs >= entry.startedMs)) {
+		const hash = hashText(entry.id);
+		const before = this.#members.get(hash);
+		if (hash === this.hash || (before && before.entry.startedMs >= entry.startedMs)) {
 			return false;
 		}
 
-		this.#members.set(entry.id, {
-			entry, hash: hashText(entry.id), heardAtMs: Number.NEGATIVE_INFINITY, isReady: false, isSourceFailing: false,
+		this.#members.set(hash, {
+			entry, hash, heardAtMs: Number.NEGATIVE_INFINITY, directAtMs: Number.NEGATIVE_INFINITY, isReady: false, isSourceFailing: false,
 		});
+		this.#reindex();
 		return true;
 	}
 
-	isAlive(member: Member, nowMs: number): boolean {
-		return nowMs - member.heardAtMs < SILENCE_MS;
+	isAlive({heardAtMs}: Member, nowMs: number): boolean {
+		return nowMs - heardAtMs < SILENCE_MS;
 	}
 
 	/** Living hosts that take callers. */
@@ -70,7 +78,7 @@
 	rank(nowMs: number, isSelfFailing: boolean): number {
 		let rank = 0;
 		for (const member of this.#members.values()) {
-			const isBetter = member.isSourceFailing === isSelfFailing ? member.hash < this.#hash : isSelfFailing;
+			const isBetter = member.isSourceFailing === isSelfFailing ? member.hash < this.hash : isSelfFailing;
 			if (isBetter && this.isAlive(member, nowMs)) {
 				rank++;
 			}
@@ -78,4 +86,17 @@
 
 		return rank;
 	}
+
+	#reindex(): void {
+		this.#byZone.clear();
+		for (const member of [...this.#members.values()].toSorted((a, b) => a.hash - b.hash)) {
+			const {zone} = member.entry;
+			const list = this.#byZone.get(zone);
+			if (list) {
+				list.push(member);
+			} else {
+				this.#byZone.set(zone, [member]);
+			}
+		}
+	}
 }
--- a/packages/entry/src/peer/message.ts
+++ b/packages/entry/src/peer/message.ts
@@ -4,41 +4,63 @@
 import type {HostEntry} from '../source.js';
 import type {PeerHorizon} from '../state/shared.js';
 
+/** A host of the sender's zone, as the sender hears it. */
+export type HeardHost = {
+	readonly hash: number;
+	readonly isReady: boolean;
+	readonly isSourceFailing: boolean;
+	/** Time since its last message, ms. */
+	readonly ageMs: number;
+};
+
+/** What a relay tells of the other hosts of its zone. */
+export type ZonePart = {
+	readonly heard: readonly HeardHost[];
+	/** Running requests of those that are no relays, by worker hash. */
+	readonly loads: ReadonlyMap<number, number>;
+	/** Worker and object hashes of requests that they sent since the last beat, in turn. */
+	readonly sent: readonly number[];
+};
+
 /** What hosts tell each other several times a second, in one datagram. */
 export type Beat = {
+	/** Hash of the sender's id. A relay passes on beats of others as they are. */
+	readonly sender: number;
 	readonly isReady: boolean;
 	readonly isSourceFailing: boolean;
 	readonly operations: PeerHorizon;
 	readonly workers: PeerHorizon;
-	/** Running requests by worker hash. */
+	/** The sender's running requests by worker hash. */
 	readonly loads: ReadonlyMap<number, number>;
-	/** Worker and object hashes of requests sent since the last beat, in turn. */
+	/** Worker and object hashes of requests that it sent since the last beat, in turn. */
 	readonly sent: readonly number[];
-	/** The sender's own entry; left out of most beats. */
-	readonly host: HostEntry | undefined;
+	/** Entries of hosts that the listeners may not know. */
+	readonly entries: readonly HostEntry[];
+	/** Set by relays. */
+	readonly zone: ZonePart | undefined;
 };
 
 const numberSchema = z.number();
+const listSchema = z.array(numberSchema);
 const horizonSchema = z.tuple([numberSchema, numberSchema, numberSchema, numberSchema]);
 const hostSchema = z.tuple([z.string(), z.string(), numberSchema, z.string(), z.string(), z.string(), numberSchema]);
-const beatSchema = z.tuple([numberSchema, horizonSchema, horizonSchema, z.array(numberSchema), z.array(numberSchema), hostSchema.optional()]);
+const zoneSchema = z.tuple([listSchema, listSchema, listSchema]);
+const beatSchema = z.tuple([numberSchema, numberSchema, horizonSchema, horizonSchema, listSchema, listSchema, z.array(hostSchema), zoneSchema.optional()]);
 
 const READY = 1;
 const SOURCE_FAILING = 2;
 /** Ages above this are told as this, ms. */
 const MAX_AGE_MS = 60_000;
+/** Numbers that tell of one heard host. */
+const HEARD_FIELDS = 3;
 
 export function encodeBeat(beat: Beat): Buffer {
-	const flags = (beat.isReady ? READY : 0) + (beat.isSourceFailing ? SOURCE_FAILING : 0);
-	const loads: number[] = [];
-	for (const [worker, count] of beat.loads) {
-		loads.push(worker, count);
-	}
-
-	const fields: unknown[] = [flags, packHorizon(beat.operations), packHorizon(beat.workers), loads, beat.sent];
-	if (beat.host) {
-		const {id, ip, peerPort, callerAddress, zone, region, startedMs} = beat.host;
-		fields.push([id, ip, peerPort, callerAddress, zone, region, startedMs]);
+	const fields: unknown[] = [
+		beat.sender, packFlags(beat), packHorizon(beat.operations), packHorizon(beat.workers), packLoads(beat.loads), beat.sent, beat.entries.map(entry => packHost(entry)),
+	];
+	if (beat.zone) {
+		const {heard, loads, sent} = beat.zone;
+		fields.push([heard.flatMap(host => [host.hash, packFlags(host), Math.round(host.ageMs)]), packLoads(loads), sent]);
 	}
 
 	return pack(fields);
@@ -58,23 +80,51 @@
 		return undefined;
 	}
 
-	const [flags, operations, workers, loadList, sent, host] = parsed.data;
-	const loads = new Map<number, number>();
-	for (let index = 0; index + 1 < loadList.length; index += 2) {
-		loads.set(loadList[index]!, loadList[index + 1]!);
-	}
-
+	const [sender, flags, operations, workers, loads, sent, entries, zone] = parsed.data;
 	return {
-		isReady: flags % 2 === READY,
-		isSourceFailing: flags >= SOURCE_FAILING,
+		sender,
+		...unpackFlags(flags),
 		operations: unpackHorizon(operations),
 		workers: unpackHorizon(workers),
-		loads,
+		loads: unpackLoads(loads),
 		sent,
-		host: host && unpackHost(host),
+		entries: entries.map(entry => unpackHost(entry)),
+		zone: zone && {heard: unpackHeard(zone[0]), loads: unpackLoads(zone[1]), sent: zone[2]},
 	};
 }
 
+type Flags = Pick<HeardHost, 'isReady' | 'isSourceFailing'>;
+
+function packFlags({isReady, isSourceFailing}: Flags): number {
+	return (isReady ? READY : 0) + (isSourceFailing ? SOURCE_FAILING : 0);
+}
+
+function unpackFlags(flags: number): Flags {
+	return {isReady: flags % 2 === READY, isSourceFailing: flags >= SOURCE_FAILING};
+}
+
+function packLoads(loads: ReadonlyMap<number, number>): number[] {
+	return [...loads].flat();
+}
+
+function unpackLoads(list: readonly number[]): Map<number, number> {
+	const loads = new Map<number, number>();
+	for (let index = 0; index + 1 < list.length; index += 2) {
+		loads.set(list[index]!, list[index + 1]!);
+	}
+
+	return loads;
+}
+
+function unpackHeard(list: readonly number[]): HeardHost[] {
+	const heard: HeardHost[] = [];
+	for (let index = 0; index + HEARD_FIELDS <= list.length; index += HEARD_FIELDS) {
+		heard.push({hash: list[index]!, ...unpackFlags(list[index + 1]!), ageMs: list[index + 2]!});
+	}
+
+	return heard;
+}
+
 function packHorizon({changed, cursor, ageMs, fingerprint}: PeerHorizon): number[] {
 	return [changed, cursor, Math.min(MAX_AGE_MS, Math.round(ageMs)), fingerprint];
 }
@@ -85,6 +135,10 @@
 	};
 }
 
+function packHost({id, ip, peerPort, callerAddress, zone, region, startedMs}: HostEntry): unknown[] {
+	return [id, ip, peerPort, callerAddress, zone, region, startedMs];
+}
+
 function unpackHost([id, ip, peerPort, callerAddress, zone, region, startedMs]: z.output<typeof hostSchema>): HostEntry {
 	return {
 		id, ip, peerPort, callerAddress, zone, region, startedMs,
--- a/packages/steering/src/load.ts
+++ b/packages/steering/src/load.ts
@@ -51,6 +51,26 @@
 		this.#peers.set(peer, {counts, atMs});
 	}
 
+	/** Forgets the counts of a peer that are told in another way now. */
+	dropPeer(peer: string): void {
+		this.#peers.delete(peer);
+	}
+
+	/** Running requests of some peers together, by worker. */
+	sumOf(peers: readonly string[], nowMs: number): Map<number, number> {
+		const sum = new Map<number, number>();
+		for (const peer of peers) {
+			const load = this.#peers.get(peer);
+			if (load && nowMs - load.atMs < PEER_LOAD_MAX_AGE_MS) {
+				for (const [worker, count] of load.counts) {
+					sum.set(worker, (sum.get(worker) ?? 0) + count);
+				}
+			}
+		}
+
+		return sum;
+	}
+
 	/** @param total requests at the worker, running and waiting, as it said itself. */
 	recordReport(worker: number, total: number, nowMs: number): void {
 		this.#reports.set(worker, {others: Math.max(0, total - this.own(worker)), atMs: nowMs});
--- a/test/entry/message.test.ts
+++ b/test/entry/message.test.ts
@@ -11,14 +11,21 @@
 const host = fc.record({
 	id: fc.string(), ip: fc.ipV4(), peerPort: fc.nat({max: 65_535}), callerAddress: fc.string(), zone: fc.string(), region: fc.string(), startedMs: fc.nat(),
 });
+const loads = fc.array(fc.tuple(hash, fc.nat({max: 50}))).map(pairs => new Map(pairs));
+const sent = fc.array(fc.tuple(hash, hash)).map(pairs => pairs.flat());
+const heard = fc.record({
+	hash, isReady: fc.boolean(), isSourceFailing: fc.boolean(), ageMs: fc.nat({max: 2000}),
+});
 const beat: fc.Arbitrary<Beat> = fc.record({
+	sender: hash,
 	isReady: fc.boolean(),
 	isSourceFailing: fc.boolean(),
 	operations: horizon,
 	workers: horizon,
-	loads: fc.array(fc.tuple(hash, fc.nat({max: 50}))).map(pairs => new Map(pairs)),
-	sent: fc.array(fc.tuple(hash, hash)).map(pairs => pairs.flat()),
-	host: fc.option(host, {nil: undefined}),
+	loads,
+	sent,
+	entries: fc.array(host, {maxLength: 3}),
+	zone: fc.option(fc.record({heard: fc.array(heard), loads, sent}), {nil: undefined}),
 });
 
 test('beat: what is encoded is decoded alike', () => {
@@ -37,7 +44,7 @@
 
 test('beat: an unknown age is told as a long one', () => {
 	const decoded = decodeBeat(encodeBeat({
-		isReady: false, isSourceFailing: false, operations: {changed: 0, cursor: 0, ageMs: Number.POSITIVE_INFINITY, fingerprint: 0}, workers: {changed: 0, cursor: 0, ageMs: 1.6, fingerprint: 0}, loads: new Map(), sent: [], host: undefined,
+		sender: 1, isReady: false, isSourceFailing: false, operations: {changed: 0, cursor: 0, ageMs: Number.POSITIVE_INFINITY, fingerprint: 0}, workers: {changed: 0, cursor: 0, ageMs: 1.6, fingerprint: 0}, loads: new Map(), sent: [], entries: [], zone: undefined,
 	}));
 	assert.equal(decoded?.operations.ageMs, 60_000);
 	assert.equal(decoded?.workers.ageMs, 2);
