feat(soak): hosts as processes under seeded faults from outside; fix(entry): a cut answer without a length is reset

The caller's connection is reset now. Test: whole-path, 300,000 bytes.

The stand-ins of the users' store and workers moved from the tests to platform/src/standin, as they speak the platform's names.

--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -352,7 +352,8 @@
 		}
 
 		if (end === ExchangeEnd.Cut) {
-			// Part of an answer must not look like the whole.
+			// Part of an answer must not look like the whole, and one without a length is whole when its connection is closed.
+			this.res.socket?.resetAndDestroy();
 			this.res.destroy();
 			return true;
 		}
--- /dev/null
+++ b/packages/soak/src/host.ts
@@ -0,0 +1,111 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {createWriteStream, mkdirSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import {callerAddress, readyAddress, usersSettings, type StandinHost} from '@apricotwood/platform/standin';
+
+/** How a host's process ended. */
+export type HostExit = {
+	readonly host: string;
+	readonly code: number | null;
+	readonly signal: NodeJS.Signals | null;
+	readonly atMs: number;
+	/** Whether a fault of the plan, or the end of the run, ended it. */
+	readonly wasWanted: boolean;
+};
+
+/** Longest time from a stop signal to the end of the process, ms. */
+export const STOP_MS = 6500;
+
+/** One entry host as a process of its own. */
+export class HostProcess {
+	#child: ChildProcess | undefined;
+	#isWanted = false;
+	/** Unix ms of the latest stop signal; `undefined` while none is under way. */
+	stoppingSinceMs: number | undefined;
+
+	constructor(
+		readonly place: StandinHost,
+		private readonly program: string,
+		private readonly directory: string,
+		private readonly onExit: (exit: HostExit) => void,
+	) {
+		mkdirSync(directory, {recursive: true});
+	}
+
+	get address(): string {
+		return callerAddress(this.place.ip);
+	}
+
+	get isRunning(): boolean {
+		return this.#child !== undefined;
+	}
+
+	start(): void {
+		if (this.#child) {
+			return;
+		}
+
+		const {id} = this.place;
+		const settingsPath = path.join(this.directory, `${id}.json`);
+		writeFileSync(settingsPath, JSON.stringify(usersSettings(this.place)));
+		const log = createWriteStream(path.join(this.directory, `${id}.log`), {flags: 'a'});
+		const child = spawn(process.execPath, ['--max-old-space-size=160', '--max-semi-space-size=1', this.program], {
+			env: {...process.env, APRICOTWOOD_SETTINGS: settingsPath}, stdio: ['ignore', 'pipe', 'pipe'],
+		});
+		child.stdout.pipe(log, {end: false});
+		child.stderr.pipe(log, {end: false});
+		this.#child = child;
+		this.#isWanted = false;
+		this.stoppingSinceMs = undefined;
+		child.on('exit', (code, signal) => {
+			log.end();
+			if (this.#child === child) {
+				this.#child = undefined;
+			}
+
+			this.onExit({
+				host: id, code, signal, atMs: Date.now(), wasWanted: this.#isWanted,
+			});
+		});
+	}
+
+	/** Sends a signal to this process, and only to it. */
+	signal(name: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
+		if (name === 'SIGTERM' || name === 'SIGKILL') {
+			this.#isWanted = true;
+		}
+
+		if (name === 'SIGTERM' && this.#child) {
+			this.stoppingSinceMs = Date.now();
+		}
+
+		this.#child?.kill(name);
+	}
+
+	async waitForExit(limitMs: number): Promise<boolean> {
+		const child = this.#child;
+		if (!child) {
+			return true;
+		}
+
+		return new Promise(resolve => {
+			const timer = setTimeout(() => {
+				resolve(false);
+			}, limitMs);
+			child.once('exit', () => {
+				clearTimeout(timer);
+				resolve(true);
+			});
+		});
+	}
+
+	async isReady(): Promise<boolean> {
+		try {
+			const res = await fetch(`http://${readyAddress(this.place.ip)}/v1/readiness`, {signal: AbortSignal.timeout(500)});
+			return res.status === 200;
+		} catch {
+			return false;
+		}
+	}
+}
--- /dev/null
+++ b/packages/soak/src/main.ts
@@ -0,0 +1,109 @@
+import {mkdirSync, readFileSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {parseArgs} from 'node:util';
+import {buildProgram} from './build.js';
+import {BREAKAGES} from './breakages.js';
+import {FaultKind} from './plan.js';
+import {SeededRandom} from './seeded.js';
+import {soak} from './soak.js';
+
+const USAGE = `npm run soak -- [--seed N] [--seeds COUNT] [--minutes M] [--hosts N] [--kinds A,B] [--untimed] [--regressions] [--break NAME] [--logs DIR]
+
+  --seed N       first seed; drawn and printed when left out
+  --seeds COUNT  seeds in turn (1)
+  --minutes M    time of faults for each seed (0.3)
+  --hosts N      host processes (5)
+  --kinds A,B    only these faults: ${Object.values(FaultKind).join(', ')}
+  --untimed      judge only what holds whatever the machine is doing besides
+  --regressions  the seeds of regressions.json, each as it failed once
+  --break NAME   a mechanism broken on purpose: ${Object.keys(BREAKAGES).join(', ')}
+  --logs DIR     where the logs of failed seeds are kept (.soak)
+`;
+
+type Job = {
+	readonly seed: number;
+	readonly minutes: number;
+	readonly hosts: number;
+	readonly kinds?: readonly FaultKind[] | undefined;
+};
+
+const root = fileURLToPath(new URL('../../../', import.meta.url));
+const MS_PER_MINUTE = 60_000;
+const MAX_SEED = 1_000_000;
+
+const {values} = parseArgs({
+	options: {
+		seed: {type: 'string'},
+		seeds: {type: 'string', default: '1'},
+		minutes: {type: 'string', default: '0.3'},
+		hosts: {type: 'string', default: '5'},
+		kinds: {type: 'string'},
+		untimed: {type: 'boolean', default: false},
+		regressions: {type: 'boolean', default: false},
+		break: {type: 'string'},
+		logs: {type: 'string', default: path.join(root, '.soak')},
+		help: {type: 'boolean', default: false},
+	},
+});
+
+function fail(message: string): never {
+	console.error(message);
+	process.exit(2); // eslint-disable-line unicorn/no-process-exit
+}
+
+function number(name: 'seeds' | 'minutes' | 'hosts' | 'seed', text: string): number {
+	const value = Number(text);
+	return value > 0 ? value : fail(`--${name}: ${text} is no number above 0`);
+}
+
+function drawJobs(): Job[] {
+	if (values.regressions) {
+		return JSON.parse(readFileSync(new URL('../regressions.json', import.meta.url), 'utf8')) as Job[];
+	}
+
+	const kinds = values.kinds?.split(',').map(kind => Object.values(FaultKind).includes(kind as FaultKind) ? kind as FaultKind : fail(`--kinds: ${kind} is no fault`));
+	const first = values.seed === undefined ? Math.ceil(Math.random() * MAX_SEED) : number('seed', values.seed);
+	return Array.from({length: number('seeds', values.seeds)}, (_, index) => ({
+		seed: first + index, minutes: number('minutes', values.minutes), hosts: number('hosts', values.hosts), kinds,
+	}));
+}
+
+async function runJob({seed, minutes, hosts, kinds}: Job, program: string): Promise<boolean> {
+	const directory = path.join(values.logs, `seed-${seed}`);
+	mkdirSync(directory, {recursive: true});
+	const {plan, records, breaches} = await soak(new SeededRandom(seed), {
+		hosts, program, directory, spanMs: minutes * MS_PER_MINUTE, isTimed: !values.untimed, ...(kinds && {kinds}),
+	});
+	const served = records.calls.filter(({status}) => status === 200).length;
+	console.log(`seed ${seed}: ${plan.length} faults, ${records.calls.length} calls, ${served} served, ${breaches.length} broken promises`);
+	if (breaches.length === 0) {
+		return true;
+	}
+
+	writeFileSync(path.join(directory, 'seen.json'), JSON.stringify({seed, plan, breaches, ...records}, undefined, '\t'));
+	for (const {promise, subject, message} of breaches.slice(0, 10)) {
+		console.log(`  ${promise}: ${subject}: ${message}`);
+	}
+
+	console.log(`  logs: ${directory}`);
+	return false;
+}
+
+if (values.help) {
+	console.log(USAGE);
+} else {
+	if (values.break !== undefined && !BREAKAGES[values.break]) {
+		fail(`--break: ${values.break} is none of ${Object.keys(BREAKAGES).join(', ')}`);
+	}
+
+	const program = await buildProgram(root, path.join(values.logs, `apricotwood-${values.break ?? 'whole'}-${process.pid}.mjs`), values.break);
+	let failed = 0;
+	for (const job of drawJobs()) {
+		failed += Number(!await runJob(job, program)); // eslint-disable-line no-await-in-loop
+	}
+
+	console.log(failed === 0 ? 'every promise held' : `${failed} seeds failed`);
+	process.exit(failed === 0 ? 0 : 1); // eslint-disable-line unicorn/no-process-exit
+}
--- /dev/null
+++ b/packages/soak/src/plan.ts
@@ -0,0 +1,59 @@
+import type {Random} from '@apricotwood/clock';
+
+/** What a step of the plan does. Each holds for a span and is undone after it. */
+export enum FaultKind {
+	HostKill = 'host-kill',
+	HostStop = 'host-stop',
+	HostPause = 'host-pause',
+	HostReload = 'host-reload',
+	StoreLink = 'store-link',
+	StoreBusy = 'store-busy',
+	StoreSilent = 'store-silent',
+	StoreLosesAnswers = 'store-loses-answers',
+	StoreForgets = 'store-forgets',
+	WorkerLink = 'worker-link',
+	WorkerFails = 'worker-fails',
+	WorkerDrain = 'worker-drain',
+	WorkerGone = 'worker-gone',
+	/** Another worker takes over the address of one that went. */
+	AddressReuse = 'address-reuse',
+	CallerLink = 'caller-link',
+	ConfigChange = 'config-change',
+	Evacuation = 'evacuation',
+}
+
+export type Fault = {
+	readonly kind: FaultKind;
+	/** From the start of the run, ms. */
+	readonly atMs: number;
+	readonly forMs: number;
+	/** Picks what it strikes, and how, 0 to 1. */
+	readonly target: number;
+	readonly how: number;
+};
+
+const KINDS = Object.values(FaultKind);
+/** Mean span between two faults of a series, ms. */
+const GAP_MS = 900;
+const MIN_SPAN_MS = 200;
+const MAX_SPAN_MS = 4000;
+/** Chance that the next fault is of the same kind as the one before. */
+const SERIES = 0.25;
+
+/** Draws faults in overlapping series, up to `spanMs`. The same random numbers give the same plan. */
+export function drawPlan(random: Random, spanMs: number, kinds: readonly FaultKind[] = KINDS): Fault[] {
+	const faults: Fault[] = [];
+	let kind = kinds[0]!;
+	for (let atMs = GAP_MS; atMs < spanMs; atMs += 2 * GAP_MS * random.next()) {
+		if (random.next() >= SERIES) {
+			kind = kinds[Math.floor(random.next() * kinds.length)]!;
+		}
+
+		const forMs = MIN_SPAN_MS + ((MAX_SPAN_MS - MIN_SPAN_MS) * (random.next() ** 2));
+		faults.push({
+			kind, atMs: Math.round(atMs), forMs: Math.round(Math.min(forMs, spanMs - atMs)), target: random.next(), how: random.next(),
+		});
+	}
+
+	return faults;
+}
--- /dev/null
+++ b/packages/soak/src/records.ts
@@ -0,0 +1,79 @@
+import type {Run} from '@apricotwood/platform/standin';
+import type {HostExit} from './host.js';
+
+export enum CallKind {
+	Read = 'read',
+	Book = 'book',
+	Load = 'load',
+}
+
+/** How a call ended, as its caller saw it. */
+export enum CallEnd {
+	Answered = 'answered',
+	/** An answer began and did not come whole. */
+	Cut = 'cut',
+	/** The connection ended without an answer. */
+	NoAnswer = 'no-answer',
+	/** No connection could be made. */
+	NoConnection = 'no-connection',
+	/** The caller gave up early, on purpose. */
+	GaveUp = 'gave-up',
+	/** No answer came, long after the call's time. */
+	Hung = 'hung',
+}
+
+/** One call of a caller. Instants are Unix ms. */
+export type Call = {
+	readonly id: string;
+	readonly kind: CallKind;
+	readonly host: string;
+	readonly method: string;
+	readonly url: string;
+	readonly bytes: number;
+	readonly digest: string;
+	readonly sentAtMs: number;
+	/** Whether the connection had carried a call before. */
+	readonly isOnKeptConnection: boolean;
+	end: CallEnd;
+	endAtMs: number;
+	status: number;
+	signature: string | undefined;
+	answer: string;
+};
+
+/** Something that the plan changed and that hosts must follow. */
+export type Notice = {
+	readonly what: 'draining' | 'gone' | 'route-added' | 'evacuated';
+	/** Worker, path prefix or zone. */
+	readonly subject: string;
+	readonly atMs: number;
+	/** Until when it holds; `undefined` while it does. */
+	untilMs: number | undefined;
+};
+
+/** A span in which something was disturbed. */
+export type Disturbance = {
+	readonly kind: string;
+	readonly subject: string;
+	readonly fromMs: number;
+	untilMs: number;
+};
+
+/** All that a run has seen from outside. */
+export type Records = {
+	readonly calls: Call[];
+	readonly runs: Run[];
+	readonly exits: HostExit[];
+	readonly notices: Notice[];
+	readonly disturbances: Disturbance[];
+	/** Stop signals by host, with the time at which the process had ended. */
+	readonly stops: Array<{readonly host: string; readonly atMs: number; endAtMs: number | undefined}>;
+	/** From when on nothing was disturbed any more and everything is back. */
+	calmFromMs: number;
+};
+
+export function newRecords(): Records {
+	return {
+		calls: [], runs: [], exits: [], notices: [], disturbances: [], stops: [], calmFromMs: Number.POSITIVE_INFINITY,
+	};
+}
--- /dev/null
+++ b/packages/soak/src/world.ts
@@ -0,0 +1,230 @@
+import path from 'node:path';
+import process from 'node:process';
+import {
+	StoreMood, UsersStore, UsersWorker, WorkerFault, callerAddress, directoryAddress, usersConfig,
+} from '@apricotwood/platform/standin';
+import {HostProcess, STOP_MS} from './host.js';
+import {Link, LinkState} from './proxy.js';
+import {newRecords, type Disturbance, type Notice, type Records} from './records.js';
+
+export type WorldOptions = {
+	readonly hosts: number;
+	/** Bundle that the hosts run. */
+	readonly program: string;
+	/** Where settings and logs of the hosts go. */
+	readonly directory: string;
+};
+
+const ZONES = ['a1', 'a2', 'b1'] as const;
+const REGIONS = {a1: 'a', a2: 'a', b1: 'b'};
+const SERVICES = ['board', 'desk'] as const;
+const WORKERS_PER_SERVICE = 4;
+const WORK_MS = 25;
+/** Networks of parallel runs differ by the process id. */
+const FIRST_NETWORK = 20;
+const NETWORKS = 200;
+const HOSTS_PER_NET = 250;
+
+/** A worker behind its link, with what the store says of it. */
+export class WorkerSeat {
+	readonly link: Link;
+	worker: UsersWorker;
+	#born = 1;
+
+	constructor(readonly id: string, readonly service: string, readonly zone: string, private readonly store: UsersStore) {
+		this.worker = new UsersWorker(id, service, zone);
+		this.worker.workMs = WORK_MS;
+		this.link = new Link(() => this.worker.address);
+	}
+
+	async start(): Promise<void> {
+		await this.worker.start();
+		await this.link.start();
+		this.register('ready');
+	}
+
+	register(state: 'ready' | 'draining'): void {
+		this.store.put('servers', this.id, this.worker.describe(state, this.link.address, this.#born));
+	}
+
+	unregister(): void {
+		this.store.drop('servers', this.id);
+	}
+
+	/** A new life: what it remembered is gone, and hosts can tell. */
+	renew(): void {
+		this.#born++;
+		this.register('ready');
+	}
+
+	async stop(): Promise<void> {
+		await this.link.stop();
+		await this.worker.stop();
+	}
+}
+
+/** Store, workers, links and host processes of one run. Everything that happens is recorded. */
+export class World {
+	readonly records: Records = newRecords();
+	readonly store = new UsersStore();
+	readonly hosts: HostProcess[] = [];
+	readonly storeLinks = new Map<string, Link>();
+	readonly callerLinks = new Map<string, Link>();
+	readonly seats: WorkerSeat[] = [];
+	#version = 1;
+	readonly #extraRoutes: unknown[][] = [];
+
+	constructor(private readonly options: WorldOptions) {}
+
+	/** Starts everything, and waits until all hosts are ready. @throws when they do not become so. */
+	async start(): Promise<void> {
+		await this.store.start();
+		this.#writeConfig();
+		for (const service of SERVICES) {
+			for (let index = 0; index < WORKERS_PER_SERVICE; index++) {
+				const zone = ZONES[index % ZONES.length]!;
+				this.seats.push(new WorkerSeat(`${service}${index}-${zone}`, service, zone, this.store));
+			}
+		}
+
+		await Promise.all(this.seats.map(async seat => seat.start()));
+		const network = FIRST_NETWORK + (process.pid % NETWORKS);
+		const ips = Array.from({length: this.options.hosts}, (_, index) => `127.${network}.${Math.floor(index / HOSTS_PER_NET)}.${(index % HOSTS_PER_NET) + 1}`);
+		for (const [index, ip] of ips.entries()) {
+			await this.#addHost(`host-${index}`, ip, ZONES[index % ZONES.length]!, ips.slice(0, 2)); // eslint-disable-line no-await-in-loop
+		}
+
+		for (const host of this.hosts) {
+			host.start();
+		}
+
+		await this.waitUntilReady(30_000);
+	}
+
+	/** @throws when a host is not ready in time. */
+	async waitUntilReady(limitMs: number): Promise<void> {
+		const endMs = Date.now() + limitMs;
+		for (const host of this.hosts) {
+			while (!await host.isReady()) { // eslint-disable-line no-await-in-loop
+				if (Date.now() > endMs) {
+					throw new Error(`${host.place.id} did not become ready`);
+				}
+
+				await pause(50); // eslint-disable-line no-await-in-loop
+			}
+		}
+	}
+
+	/** Where a caller connects to, for an address that the directory names. */
+	linkOf(address: string): Link | undefined {
+		return this.callerLinks.get(address);
+	}
+
+	/** Hosts that a running host names to callers. */
+	async findHosts(host: HostProcess): Promise<string[]> {
+		const url = `http://${directoryAddress(host.place.ip)}/v1/resolve?name=a.example&zone=${host.place.zone}&region=${REGIONS[host.place.zone as keyof typeof REGIONS]}`;
+		const res = await fetch(url, {signal: AbortSignal.timeout(500)});
+		return ((await res.json()) as {addresses: string[]}).addresses;
+	}
+
+	/** Adds a route, and says which prefix it has. */
+	addRoute(): string {
+		const prefix = `/new${this.#extraRoutes.length}/`;
+		this.#extraRoutes.push([`new${this.#extraRoutes.length}`, 'a.example', prefix, 'idempotent', '1500ms', '800ms', 1, 'desk', 2, true, [], null]);
+		this.#writeConfig();
+		return prefix;
+	}
+
+	disturb(kind: string, subject: string): Disturbance {
+		const disturbance = {
+			kind, subject, fromMs: Date.now(), untilMs: Number.POSITIVE_INFINITY,
+		};
+		this.records.disturbances.push(disturbance);
+		return disturbance;
+	}
+
+	notice(what: Notice['what'], subject: string): Notice {
+		const notice: Notice = {
+			what, subject, atMs: Date.now(), untilMs: undefined,
+		};
+		this.records.notices.push(notice);
+		return notice;
+	}
+
+	/** Stops a host as operators do, and starts it again once it has ended. */
+	async restart(host: HostProcess): Promise<void> {
+		const stop: Records['stops'][number] = {host: host.place.id, atMs: Date.now(), endAtMs: undefined};
+		this.records.stops.push(stop);
+		host.signal('SIGTERM');
+		if (await host.waitForExit(STOP_MS)) {
+			stop.endAtMs = Date.now();
+		} else {
+			host.signal('SIGKILL');
+			await host.waitForExit(STOP_MS);
+		}
+
+		host.start();
+	}
+
+	/** Undoes whatever is still disturbed. */
+	async heal(): Promise<void> {
+		this.store.mood = StoreMood.Well;
+		this.store.losesAnswers = false;
+		for (const link of [...this.storeLinks.values(), ...this.callerLinks.values(), ...this.seats.map(seat => seat.link)]) {
+			link.setState(LinkState.Well);
+		}
+
+		for (const seat of this.seats) {
+			seat.worker.fault = WorkerFault.None;
+			seat.register('ready');
+		}
+
+		for (const zone of ZONES) {
+			this.store.drop('op', `evacuate/${zone}`);
+		}
+
+		for (const host of this.hosts) {
+			host.signal('SIGCONT');
+			host.start();
+		}
+
+		await this.waitUntilReady(15_000);
+	}
+
+	/** Ends everything, the processes by their ids. */
+	async stop(): Promise<void> {
+		for (const host of this.hosts) {
+			host.signal('SIGCONT');
+			host.signal('SIGKILL');
+		}
+
+		await Promise.all(this.hosts.map(async host => host.waitForExit(STOP_MS)));
+		const links = [...this.storeLinks.values(), ...this.callerLinks.values()];
+		await Promise.all([...links, ...this.seats].map(async part => part.stop()));
+		await this.store.stop();
+		this.records.runs.push(...this.seats.flatMap(({worker}) => worker.runs));
+	}
+
+	async #addHost(id: string, ip: string, zone: string, seeds: readonly string[]): Promise<void> {
+		const storeLink = await new Link(() => this.store.address).start();
+		const callerLink = await new Link(() => callerAddress(ip)).start();
+		this.storeLinks.set(id, storeLink);
+		this.callerLinks.set(callerAddress(ip), callerLink);
+		this.hosts.push(new HostProcess({
+			id, ip, zone, storeAddress: storeLink.address, seeds, regions: REGIONS,
+		}, this.options.program, path.resolve(this.options.directory), exit => {
+			this.records.exits.push(exit);
+		}));
+	}
+
+	#writeConfig(): void {
+		this.#version++;
+		this.store.put('op', 'config', usersConfig(this.#version, SERVICES, this.#extraRoutes));
+	}
+}
+
+export async function pause(spanMs: number): Promise<void> {
+	await new Promise<void>(resolve => {
+		setTimeout(resolve, spanMs);
+	});
+}
--- a/test/adapter/decode.test.ts
+++ b/test/adapter/decode.test.ts
@@ -8,7 +8,7 @@
 	PlatformDialect, decodeConfig, decodeWorker, loadSettings, readSpan,
 } from '@apricotwood/platform';
 import {RequestKind, RouteTable, WorkerState} from '@apricotwood/steering';
-import {usersConfig} from '../fixtures/users-platform.js';
+import {usersConfig} from '@apricotwood/platform/standin';
 
 /** Places and messages of all findings. */
 function findingsOf(run: () => unknown): string[] {
--- a/test/entry/beats.test.ts
+++ b/test/entry/beats.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {SeededRandom} from '@apricotwood/soak';
 import {PeerWorld, type PeerHost} from '../fixtures/peer-world.js';
-import {SeededRandom} from '../fixtures/seeded.js';
 
 const SETTLE_MS = 4000;
 
--- a/test/entry/state.test.ts
+++ b/test/entry/state.test.ts
@@ -6,7 +6,7 @@
 } from '@apricotwood/entry';
 import {DEFAULT_LIMITS, type SteeringConfig, type WorkerEntry} from '@apricotwood/steering';
 import {SILENT_LOG} from '@apricotwood/telemetry';
-import {SeededRandom} from '../fixtures/seeded.js';
+import {SeededRandom} from '@apricotwood/soak';
 import {REGIONS, makeRoute, makeWorker} from '../fixtures/workers.js';
 
 function makeState(clock: FakeClock): SharedState {
--- a/test/entry/whole-path.test.ts
+++ b/test/entry/whole-path.test.ts
@@ -2,12 +2,12 @@
 import {
 	after, before, beforeEach, test,
 } from 'node:test';
+import {
+	StoreMood, UsersStore, UsersWorker, WorkerFault, usersConfig, type StoreDoor,
+} from '@apricotwood/platform/standin';
 import {
 	RigHost, eventually, freePorts, send,
 } from '../fixtures/entry-rig.js';
-import {
-	StoreMood, UsersStore, UsersWorker, usersConfig, type StoreDoor,
-} from '../fixtures/users-platform.js';
 
 const IPS = ['127.0.0.11', '127.0.0.12', '127.0.0.13'];
 const store = new UsersStore();
@@ -55,7 +55,7 @@
 	door.mood = StoreMood.Well;
 	store.mood = StoreMood.Well;
 	for (const worker of workers) {
-		worker.fault = 'none';
+		worker.fault = WorkerFault.None;
 	}
 
 	await eventually('a request is served again', async () => (await hosts[0]!.send('/read/x')).status === 200);
@@ -105,7 +105,7 @@
 
 test('what no worker runs is refused with a time to come back, and has not run', async () => {
 	for (const worker of workers) {
-		worker.fault = 'shed';
+		worker.fault = WorkerFault.Shed;
 	}
 
 	const reply = await hosts[0]!.send('/book/x', {method: 'POST', id: 'shed-1'});
@@ -116,7 +116,7 @@
 
 test('what may run once and was sent is never sent again, and its outcome is told as unknown', async () => {
 	for (const worker of workers) {
-		worker.fault = 'reset';
+		worker.fault = WorkerFault.Reset;
 	}
 
 	const reply = await hosts[0]!.send('/book/x', {method: 'POST', id: 'once-1'});
@@ -127,7 +127,7 @@
 test('what may be repeated is tried at another worker', async () => {
 	const first = await hosts[0]!.send('/read/x', {headers: {'affinity-key': 'again'}});
 	const used = workers.find(({id}) => first.headers['server-signature'] === `sig-${id}`)!;
-	for (const fault of ['reset', 'fail'] as const) {
+	for (const fault of [WorkerFault.Reset, WorkerFault.Fail]) {
 		used.fault = fault;
 		const reply = await hosts[0]!.send('/read/x', {headers: {'affinity-key': 'again'}});
 		assert.equal(reply.status, 200, fault);
@@ -137,7 +137,7 @@
 
 test('an answer without a length reaches the caller without one (MIXED, trouble-2)', async () => {
 	for (const worker of workers) {
-		worker.fault = 'unframed';
+		worker.fault = WorkerFault.Unframed;
 	}
 
 	const reply = await hosts[0]!.send('/read/x');
@@ -147,6 +147,17 @@
 	assert.equal(reply.headers['transfer-encoding'], undefined);
 });
 
+for (const filler of [0, 300_000]) {
+	test(`an answer without a length that is reset never looks whole, ${filler} bytes`, async () => {
+		for (const worker of workers) {
+			worker.fault = WorkerFault.UnframedReset;
+		}
+
+		const ended = await hosts[0]!.send(`/book/x?filler=${filler}`, {method: 'POST'}).then(({status, isCut}) => isCut || status === 502, () => true);
+		assert.equal(ended, true);
+	});
+}
+
 test('entries that cannot be used name no worker, and the others hold', async () => {
 	store.put('servers', 'bad-1', 'no json at all');
 	store.put('servers', 'bad-2', {addr: 7});
@@ -267,7 +278,7 @@
 
 	await eventually('it is named', named);
 	for (const worker of workers) {
-		worker.fault = 'slow';
+		worker.fault = WorkerFault.Slow;
 	}
 
 	const inFlight = leaving.send('/book/x', {method: 'POST', id: 'stop-1'});
@@ -287,7 +298,7 @@
 for (const [method, path] of [['GET', '/read/x'], ['POST', '/book/x']] as const) {
 	test(`work whose caller has left is ended: ${method}`, async () => {
 		for (const worker of workers) {
-			worker.fault = 'slow';
+			worker.fault = WorkerFault.Slow;
 		}
 
 		const {request} = await import('node:http');
--- a/test/steering/limits.test.ts
+++ b/test/steering/limits.test.ts
@@ -3,7 +3,7 @@
 import {
 	ColdLimit, Fleet, RepeatBudget, ServiceSplit,
 } from '@apricotwood/steering';
-import {SeededRandom} from '../fixtures/seeded.js';
+import {SeededRandom} from '@apricotwood/soak';
 import {REGIONS, makeRoute, makeWorker} from '../fixtures/workers.js';
 
 /** Most events inside any span of `spanMs`. */
--- a/test/steering/placer.test.ts
+++ b/test/steering/placer.test.ts
@@ -3,7 +3,7 @@
 import {
 	AttemptSign, PlacementReason, RequestKind, Verdict, type PlacementRequest, type WorkerEntry,
 } from '@apricotwood/steering';
-import {SeededRandom} from '../fixtures/seeded.js';
+import {SeededRandom} from '@apricotwood/soak';
 import {
 	makePlacer, makeRequest, makeRoute, makeWorker,
 } from '../fixtures/workers.js';
