--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -49,6 +49,8 @@
 const MAX_WAITING = 300;
 /** How often waiting requests are tried again without a sign of room, ms. */
 const PUMP_MS = 25;
+/** How often running requests are looked at while none waits, ms. */
+const WATCH_MS = 100;
 /** An attempt counts as overdue from this multiple of its expected time on. */
 const OVERDUE_FACTOR = 2;
 const FIRST_PAUSE_MS = 150;
@@ -295,7 +297,7 @@
 	async #pumpOn(signal: AbortSignal): Promise<void> {
 		const {clock} = this.deps;
 		while (!signal.aborted) {
-			await sleep(clock, PUMP_MS, signal); // eslint-disable-line no-await-in-loop
+			await sleep(clock, this.#waiting.size > 0 ? PUMP_MS : WATCH_MS, signal); // eslint-disable-line no-await-in-loop
 			this.#noteOverdue(clock.monotonic());
 			this.#pump();
 		}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -10,7 +10,7 @@
 	SharedState, type CatchUp, type Horizon, type PeerHorizon, type Question, type StateListener,
 } from './state/shared.js';
 export {
-	Follower, isReadDue, type FollowDeps, type FollowOptions,
+	Follower, readDueInMs, type FollowDeps, type FollowOptions,
 } from './state/follow.js';
 export {Members, type Member} from './peer/members.js';
 export {
--- a/packages/entry/src/request/ingress.ts
+++ b/packages/entry/src/request/ingress.ts
@@ -15,6 +15,11 @@
 /** Age of the routes from which an unknown route is no proof that there is none, ms. */
 const STALE_ROUTES_MS = 2000;
 const RETRY_SOON_MS = 300;
+/** Status lines for what the parser refuses; anything else is a bad request. */
+const PARSER_STATUSES: Readonly<Record<string, string>> = {
+	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
 
 /** Takes callers' requests. */
 export class Ingress {
@@ -29,7 +34,7 @@
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
 			this.parts.log.info({event: 'bad-request', message: error.message, code: error.code});
 			if (socket.writable) {
-				socket.end(`HTTP/1.1 ${error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+				socket.end(`HTTP/1.1 ${PARSER_STATUSES[error.code ?? ''] ?? '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 			}
 		});
 	}
--- a/packages/entry/src/state/follow.ts
+++ b/packages/entry/src/state/follow.ts
@@ -19,8 +19,9 @@
 const DEFAULTS: Required<FollowOptions> = {
 	intervalMs: 500, takeoverMs: 1000, rankStepMs: 150, timeoutMs: 900,
 };
-/** How often it is asked whether a read is due, ms. */
-const STEP_MS = 50;
+/** Bounds of the span after which it is asked again whether a read is due, ms. */
+const MIN_STEP_MS = 20;
+const MAX_STEP_MS = 150;
 const MAX_BACK_OFF_MS = 1500;
 const BACK_OFF_JITTER = 0.3;
 
@@ -37,9 +38,9 @@
 	readonly onNews: () => void;
 };
 
-/** Whether a read is due. */
-export function isReadDue(rank: number, ageMs: number, sinceReadMs: number, {intervalMs, takeoverMs, rankStepMs}: Required<FollowOptions>): boolean {
-	return rank === 0 ? sinceReadMs >= intervalMs : ageMs >= takeoverMs + (rank * rankStepMs);
+/** Time until a read is due, ms; 0 or less when it is. */
+export function readDueInMs(rank: number, ageMs: number, sinceReadMs: number, {intervalMs, takeoverMs, rankStepMs}: Required<FollowOptions>): number {
+	return rank === 0 ? intervalMs - sinceReadMs : takeoverMs + (rank * rankStepMs) - ageMs;
 }
 
 /**
@@ -66,13 +67,12 @@
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, state, rank} = this.deps;
 		while (!signal.aborted) {
-			const nowMs = clock.monotonic();
-			if (nowMs >= this.#notBeforeMs && isReadDue(rank(), state.ageMs(), nowMs - this.#lastReadMs, this.#options)) {
+			if (this.#dueInMs(rank()) <= 0) {
 				await this.read(signal); // eslint-disable-line no-await-in-loop
 			}
 
 			state.sweep();
-			await sleep(clock, STEP_MS, signal); // eslint-disable-line no-await-in-loop
+			await sleep(clock, Math.max(MIN_STEP_MS, Math.min(MAX_STEP_MS, this.#dueInMs(rank()))), signal); // eslint-disable-line no-await-in-loop
 		}
 	}
 
@@ -112,6 +112,11 @@
 		}
 	}
 
+	#dueInMs(rank: number): number {
+		const nowMs = this.deps.clock.monotonic();
+		return Math.max(this.#notBeforeMs - nowMs, readDueInMs(rank, this.deps.state.ageMs(), nowMs - this.#lastReadMs, this.#options));
+	}
+
 	#recordSuccess(): void {
 		this.deps.metrics.count('source.reads');
 		if (this.#failures > 0) {
--- a/packages/entry/src/upstream/checks.ts
+++ b/packages/entry/src/upstream/checks.ts
@@ -5,7 +5,7 @@
 import type {SharedState} from '../state/shared.js';
 import {Connection} from './connection.js';
 
-const STEP_MS = 100;
+const STEP_MS = 150;
 const TIMEOUT_MS = 600;
 
 export type ChecksDeps = {
--- a/packages/soak/src/host.ts
+++ b/packages/soak/src/host.ts
@@ -37,6 +37,11 @@
 		return callerAddress(this.place.ip);
 	}
 
+	/** Process id; `undefined` while it does not run. */
+	get pid(): number | undefined {
+		return this.#child?.pid;
+	}
+
 	get isRunning(): boolean {
 		return this.#child !== undefined;
 	}
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -1,3 +1,4 @@
+import {FaultKind} from './plan.js';
 import {
 	CallEnd, CallKind, type Call, type Disturbance, type Notice, type Records,
 } from './records.js';
@@ -22,6 +23,8 @@
 const MIN_CALM_CALLS = 20;
 /** Part of the calls that are served once everything is back. */
 const MIN_CALM_SERVED = 0.95;
+/** Subject of what disturbs the store for all hosts. */
+export const STORE = 'store';
 /** Statuses that promise that a call has not run and will not. */
 const PROMISING = new Set([408, 421, 429, 503]);
 
@@ -101,6 +104,7 @@
 
 function judgeNotices(records: Records): Breach[] {
 	const breaches: Breach[] = [];
+	const hosts = new Map(records.calls.map(({id, host}) => [id, host]));
 	for (const notice of records.notices) {
 		const isZone = notice.what === 'evacuated';
 		if (notice.what === 'route-added') {
@@ -109,7 +113,7 @@
 
 		const boundMs = notice.atMs + (isZone ? EVACUATION_MS : DRAIN_MS);
 		const isMeant = (worker: string) => isZone ? worker.endsWith(`-${notice.subject}`) : worker === notice.subject;
-		const late = records.runs.filter(({worker, atMs}) => isMeant(worker) && atMs > boundMs && atMs < (notice.untilMs ?? Number.POSITIVE_INFINITY) && isCalm(records, notice.atMs, atMs));
+		const late = records.runs.filter(({id, worker, atMs}) => isMeant(worker) && atMs > boundMs && atMs < (notice.untilMs ?? Number.POSITIVE_INFINITY) && isCalm(records, notice.atMs, atMs, [STORE, hosts.get(id)]));
 		breaches.push(...late.map(run => ({promise: 'drain', subject: run.id, message: `reached ${run.worker} ${run.atMs - notice.atMs} ms after it was ${notice.what}`})));
 	}
 
@@ -118,28 +122,25 @@
 
 function judgeConfig(records: Records): Breach[] {
 	const added = new Map<string, Notice>(records.notices.filter(({what}) => what === 'route-added').map(notice => [notice.subject, notice]));
-	return records.calls.filter(({url, status, end, sentAtMs}) => {
+	return records.calls.filter(({url, status, end, sentAtMs, host}) => {
 		const notice = added.get(prefixOf(url));
-		return notice !== undefined && end === CallEnd.Answered && status === 404 && sentAtMs > notice.atMs + CONFIG_MS && isCalm(records, notice.atMs, sentAtMs);
+		return notice !== undefined && end === CallEnd.Answered && status === 404 && sentAtMs > notice.atMs + CONFIG_MS && isCalm(records, notice.atMs, sentAtMs, [STORE, host]);
 	}).map(({id, url, host}) => ({promise: 'config', subject: id, message: `${host} does not know ${url}`}));
 }
 
 /** A host that is stopped ends in time, and ends no call that a worker has begun. */
 function judgeStops(records: Records): Breach[] {
 	const breaches: Breach[] = [];
-	const ran = new Set(records.runs.map(({id}) => id));
+	const workers = new Map(records.runs.map(({id, worker}) => [id, worker]));
 	for (const {host, atMs, endAtMs} of records.stops) {
 		const untilMs = endAtMs ?? Number.POSITIVE_INFINITY;
-		if (!isCalm(records, atMs, untilMs, host)) {
-			continue;
-		}
-
-		if (endAtMs === undefined) {
+		if (endAtMs === undefined && isCalm(records, atMs, untilMs, [host], FaultKind.HostStop)) {
 			breaches.push({promise: 'stop', subject: host, message: 'the process did not end in time'});
 		}
 
 		const lost = records.calls.filter(call => call.host === host && call.endAtMs > atMs && call.endAtMs <= untilMs + LATE_MS
-			&& (call.end === CallEnd.NoAnswer || call.end === CallEnd.Cut) && ran.has(call.id));
+			&& (call.end === CallEnd.NoAnswer || call.end === CallEnd.Cut) && workers.has(call.id)
+			&& isCalm(records, call.sentAtMs, call.endAtMs, [host, workers.get(call.id)], FaultKind.HostStop));
 		breaches.push(...lost.map(({id, end}) => ({promise: 'stop', subject: id, message: `${host} was stopped, and a call that had run ended as ${end}`})));
 	}
 
@@ -147,7 +148,7 @@
 }
 
 function judgeLate(records: Records): Breach[] {
-	return records.calls.filter(({end, sentAtMs, endAtMs}) => (end === CallEnd.Hung || (end === CallEnd.Answered && endAtMs - sentAtMs > CALL_TIMEOUT_MS + LATE_MS)) && isCalm(records, sentAtMs, endAtMs))
+	return records.calls.filter(({end, sentAtMs, endAtMs, host}) => (end === CallEnd.Hung || (end === CallEnd.Answered && endAtMs - sentAtMs > CALL_TIMEOUT_MS + LATE_MS)) && isCalm(records, sentAtMs, endAtMs, [host]))
 		.map(({id, sentAtMs, endAtMs, host}) => ({promise: 'late', subject: id, message: `${host} had it for ${endAtMs - sentAtMs} ms`}));
 }
 
@@ -163,8 +164,8 @@
 	return `/${url.split('/')[1]}/`;
 }
 
-/** Whether nothing was disturbed from `CONTACT_MS` before a span to its end, but for one subject. */
-function isCalm({disturbances}: Records, fromMs: number, untilMs: number, besides?: string): boolean {
-	return disturbances.every((disturbance: Disturbance) => disturbance.subject === besides
+/** Whether none of the subjects was disturbed from `CONTACT_MS` before a span to its end, but by one kind of fault. */
+function isCalm({disturbances}: Records, fromMs: number, untilMs: number, subjects: ReadonlyArray<string | undefined>, besides?: FaultKind): boolean {
+	return disturbances.every((disturbance: Disturbance) => !subjects.includes(disturbance.subject) || disturbance.kind === besides
 		|| disturbance.fromMs > untilMs || disturbance.untilMs < fromMs - CONTACT_MS);
 }
--- a/packages/soak/src/proxy.ts
+++ b/packages/soak/src/proxy.ts
@@ -19,9 +19,10 @@
 type Pair = {
 	readonly near: Socket;
 	readonly far: Socket;
+	hasLost: boolean;
 };
 
-/** A loopback link to one address, whose faults are set from outside. What is held back while it is silent is lost. */
+/** A loopback link to one address, whose faults are set from outside. A connection on which bytes were lost is reset once the link is well again. */
 export class Link {
 	readonly #pairs = new Set<Pair>();
 	readonly #server: Server = createServer({allowHalfOpen: true}, near => {
@@ -40,7 +41,9 @@
 	setState(state: LinkState): void {
 		this.#state = state;
 		if (state === LinkState.Reset) {
-			this.#resetAll();
+			this.#resetAll(() => true);
+		} else if (state === LinkState.Well) {
+			this.#resetAll(({hasLost}) => hasLost);
 		}
 	}
 
@@ -52,7 +55,7 @@
 	}
 
 	async stop(): Promise<void> {
-		this.#resetAll();
+		this.#resetAll(() => true);
 		await new Promise<void>(resolve => {
 			this.#server.close(() => {
 				resolve();
@@ -60,13 +63,14 @@
 		});
 	}
 
-	#resetAll(): void {
-		for (const {near, far} of this.#pairs) {
-			near.resetAndDestroy();
-			far.resetAndDestroy();
+	#resetAll(isMeant: (pair: Pair) => boolean): void {
+		for (const pair of this.#pairs) {
+			if (isMeant(pair)) {
+				this.#pairs.delete(pair);
+				pair.near.resetAndDestroy();
+				pair.far.resetAndDestroy();
+			}
 		}
-
-		this.#pairs.clear();
 	}
 
 	#carry(near: Socket): void {
@@ -77,10 +81,10 @@
 
 		const [ip, port] = this.target().split(':');
 		const far = connect({host: ip!, port: Number(port), allowHalfOpen: true});
-		const pair = {near, far};
+		const pair = {near, far, hasLost: false};
 		this.#pairs.add(pair);
-		this.#pass(near, far, () => this.#state !== LinkState.Silent);
-		this.#pass(far, near, () => this.#state !== LinkState.Silent && this.#state !== LinkState.OneWay);
+		this.#pass(near, far, pair, () => this.#state !== LinkState.Silent);
+		this.#pass(far, near, pair, () => this.#state !== LinkState.Silent && this.#state !== LinkState.OneWay);
 		const end = (error: boolean) => {
 			this.#pairs.delete(pair);
 			for (const socket of [near, far]) {
@@ -102,17 +106,29 @@
 		}
 	}
 
-	#pass(from: Socket, to: Socket, isOpen: () => boolean): void {
+	#pass(from: Socket, to: Socket, pair: Pair, isOpen: () => boolean): void {
+		// What was held back goes first, also once the link is well again.
+		let held: Promise<void> = Promise.resolve();
+		let waiting = 0;
 		const later = (run: () => void) => {
-			if (this.#state === LinkState.Delayed) {
-				setTimeout(run, DELAY_MS);
-			} else {
+			if (this.#state !== LinkState.Delayed && waiting === 0) {
 				run();
+				return;
 			}
+
+			waiting++;
+			const due = new Promise<void>(resolve => {
+				setTimeout(resolve, this.#state === LinkState.Delayed ? DELAY_MS : 0);
+			});
+			held = Promise.all([held, due]).then(() => {
+				waiting--;
+				run();
+			});
 		};
 
 		from.on('data', (chunk: Buffer) => {
-			if (isOpen()) {
+			pair.hasLost ||= !isOpen();
+			if (!pair.hasLost) {
 				later(() => {
 					if (to.writable) {
 						to.write(chunk);
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -1,5 +1,6 @@
 import type {Run} from '@apricotwood/platform/standin';
 import type {HostExit} from './host.js';
+import type {FaultKind} from './plan.js';
 
 export enum CallKind {
 	Read = 'read',
@@ -53,7 +54,7 @@
 
 /** A span in which something was disturbed. */
 export type Disturbance = {
-	readonly kind: string;
+	readonly kind: FaultKind;
 	readonly subject: string;
 	readonly fromMs: number;
 	untilMs: number;
--- a/packages/soak/src/strike.ts
+++ b/packages/soak/src/strike.ts
@@ -1,6 +1,7 @@
 import {StoreMood, WorkerFault} from '@apricotwood/platform/standin';
 import type {HostProcess} from './host.js';
 import {FaultKind, type Fault} from './plan.js';
+import {STORE} from './promises.js';
 import {LinkState, type Link} from './proxy.js';
 import {pause, type WorkerSeat, type World} from './world.js';
 
@@ -31,17 +32,17 @@
 	async [FaultKind.HostReload](world, fault) {
 		hostOf(world, fault).signal('SIGHUP');
 	},
-	[FaultKind.StoreLink]: async (world, fault) => bend(world, fault, world.storeLinks.get(hostOf(world, fault).place.id)!, 'store'),
+	[FaultKind.StoreLink]: async (world, fault) => bend(world, fault, world.storeLinks.get(hostOf(world, fault).place.id)!, hostOf(world, fault).place.id),
 	[FaultKind.CallerLink]: async (world, fault) => bend(world, fault, world.callerLinks.get(hostOf(world, fault).address)!, hostOf(world, fault).place.id),
 	[FaultKind.WorkerLink]: async (world, fault) => bend(world, fault, seatOf(world, fault).link, seatOf(world, fault).id),
 	[FaultKind.StoreBusy]: async (world, fault) => upset(world, fault, StoreMood.Busy),
 	[FaultKind.StoreSilent]: async (world, fault) => upset(world, fault, StoreMood.Silent),
-	[FaultKind.StoreLosesAnswers]: async (world, fault) => disturbed(world, fault, 'store', async () => {
+	[FaultKind.StoreLosesAnswers]: async (world, fault) => disturbed(world, fault, STORE, async () => {
 		world.store.losesAnswers = true;
 		await pause(fault.forMs);
 		world.store.losesAnswers = false;
 	}),
-	[FaultKind.StoreForgets]: async (world, fault) => disturbed(world, fault, 'store', async () => {
+	[FaultKind.StoreForgets]: async (world, fault) => disturbed(world, fault, STORE, async () => {
 		world.store.compact();
 	}),
 	async [FaultKind.WorkerFails](world, fault) {
@@ -91,7 +92,7 @@
 }
 
 async function upset(world: World, fault: Fault, mood: StoreMood): Promise<void> {
-	await disturbed(world, fault, 'store', async () => {
+	await disturbed(world, fault, STORE, async () => {
 		world.store.mood = mood;
 		await pause(fault.forMs);
 		world.store.mood = StoreMood.Well;
--- a/test/entry/whole-path.test.ts
+++ b/test/entry/whole-path.test.ts
@@ -311,3 +311,27 @@
 		await eventually('the host has ended it', () => hosts[0]!.lines.some(({id, code}) => id === `left-${method}` && code === 'caller-left'));
 	});
 }
+
+test('a request whose header does not come whole in time is told so, and not that it is bad (soak, seed 1002)', async () => {
+	const before = hosts[0]!.host.state.table!.config.limits;
+	version += 3;
+	store.put('op', 'config', {...usersConfig(version, ['board', 'other']), limits: {max_header_bytes: 4096, max_body_bytes: 3_000_000, header_timeout: '200ms', idle_timeout: '15000ms'}});
+	await eventually('the limit is in force', () => hosts[0]!.host.state.table!.config.limits.headerTimeoutMs === 200);
+	const [ip, port] = hosts[0]!.settings.entry.self.callerAddress.split(':');
+	const {connect} = await import('node:net');
+	const answer = await new Promise<string>(resolve => {
+		let text = '';
+		const socket = connect(Number(port), ip, () => {
+			socket.write('GET /read/x HTTP/1.1\r\nHost: a.exam');
+		});
+		socket.on('data', chunk => {
+			text += String(chunk);
+		});
+		socket.on('close', () => {
+			resolve(text);
+		});
+	});
+	assert.match(answer, /^HTTP\/1\.1 408 /);
+	assert.equal(before.headerTimeoutMs, 3000);
+	setConfig();
+});
