feat(experiment): apricotctl experiment records a load and replays it under several policies

An offline model: workers with slots, a queue and a memory of few objects; an entry host a zone with the product's own placer, load view, warm objects and times; callers that come back once. It ranks policies and writes an HTML report with load, waits and rejections by service and region. A pattern is made of the hosts' logs; slots, regions and round trips, which logs do not tell, are given.

The seeded generator has one copy, in the clock package.

--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -5,6 +5,8 @@
 import AgreementShow from './commands/agreement/show.js';
 import AgreementStatus from './commands/agreement/status.js';
 import Drain from './commands/drain.js';
+import ExperimentRecord from './commands/experiment/record.js';
+import ExperimentRun from './commands/experiment/run.js';
 import Explain from './commands/explain.js';
 import HostList from './commands/host/list.js';
 import LedgerShow from './commands/ledger/show.js';
@@ -19,6 +21,8 @@
 	explain: Explain,
 	drain: Drain,
 	undrain: Undrain,
+	'experiment:record': ExperimentRecord,
+	'experiment:run': ExperimentRun,
 	'host:list': HostList,
 	'ledger:show': LedgerShow,
 	'agreement:check': AgreementCheck,
--- a/packages/cli/src/commands/trace.ts
+++ b/packages/cli/src/commands/trace.ts
@@ -1,8 +1,9 @@
-import {readFileSync, readdirSync, statSync} from 'node:fs';
-import path from 'node:path';
+import {readFileSync} from 'node:fs';
 import {Args, Flags} from '@oclif/core';
 import {BaseCommand, ExitCode} from '../base.js';
-import {findTrace, readLines, type TraceLine} from '../trace.js';
+import {
+	findTrace, listFiles, readLines, type TraceLine,
+} from '../trace.js';
 
 /** Span around a request in which other lines may have to do with it. */
 const DEFAULT_AROUND_MS = 3000;
@@ -19,7 +20,12 @@
 
 	async run(): Promise<readonly TraceLine[]> {
 		const {args, flags} = await this.parse(Trace);
-		const lines = this.#listFiles(flags.logs).flatMap(file => readLines(readFileSync(file, 'utf8')));
+		const files = listFiles(flags.logs);
+		if (!files) {
+			this.error(`${flags.logs}: no such file or folder`, {exit: ExitCode.BadInput});
+		}
+
+		const lines = files.flatMap(file => readLines(readFileSync(file, 'utf8')));
 		const trace = findTrace(lines, args.id, flags.around);
 		if (trace.length === 0) {
 			this.error(`no line names request ${args.id} in ${flags.logs}`, {exit: ExitCode.Failed});
@@ -31,13 +37,4 @@
 
 		return trace;
 	}
-
-	#listFiles(place: string): string[] {
-		const stat = statSync(place, {throwIfNoEntry: false});
-		if (!stat) {
-			this.error(`${place}: no such file or folder`, {exit: ExitCode.BadInput});
-		}
-
-		return stat.isDirectory() ? readdirSync(place).toSorted().map(name => path.join(place, name)) : [place];
-	}
 }
--- a/packages/cli/src/trace.ts
+++ b/packages/cli/src/trace.ts
@@ -1,3 +1,6 @@
+import {readdirSync, statSync} from 'node:fs';
+import path from 'node:path';
+
 /** One line of a host's log. */
 export type TraceLine = {
 	/** Unix ms. */
@@ -26,6 +29,16 @@
 	'beliefs',
 ]);
 
+/** @returns the log files of a place, which is a file or a folder; `undefined` when it is not there. */
+export function listFiles(place: string): string[] | undefined {
+	const stat = statSync(place, {throwIfNoEntry: false});
+	if (!stat) {
+		return undefined;
+	}
+
+	return stat.isDirectory() ? readdirSync(place).toSorted().map(name => path.join(place, name)) : [place];
+}
+
 /** Reads the JSON lines of a log; text before a line's JSON, such as a collector's own time, and other lines are passed over. */
 export function readLines(text: string): TraceLine[] {
 	const lines: TraceLine[] = [];
--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -3,3 +3,4 @@
 } from './clock.js';
 export {FakeClock} from './fake.js';
 export {SystemRandom, jitter, type Random} from './random.js';
+export {SeededRandom} from './seeded.js';
--- /dev/null
+++ b/packages/experiment/src/host.ts
@@ -0,0 +1,141 @@
+import type {Clock, Random} from '@apricotwood/clock';
+import {hashText} from '@apricotwood/routing';
+import {
+	ColdLimit, Distances, Fleet, LoadView, Placer, RequestKind, ServiceTimes, Verdict, WarmObjects, Warmth, WorkerJudge, WorkerState, type Placement, type PlacerOptions, type Route,
+} from '@apricotwood/steering';
+import type {LoadPattern} from './pattern.js';
+import type {ModelWorker} from './worker.js';
+
+/** How a try of a caller ended at a host. */
+export enum TryEnd {
+	Answered = 'answered',
+	Rejected = 'rejected',
+}
+
+export type TryResult = {
+	readonly end: TryEnd;
+	readonly wasWarm: boolean;
+	/** After a rejection, when room is expected, ms. */
+	readonly roomInMs: number;
+	/** Time that the try waited at the host, ms. */
+	readonly waitedMs: number;
+};
+
+/** One request at a host. */
+export type ModelTry = {
+	readonly route: Route;
+	readonly times: {readonly warmMs: number; readonly coldMs: number};
+	readonly service: string;
+	readonly object: string;
+	readonly targetAtMs: number;
+	readonly endAtMs: number;
+	readonly isReturning: boolean;
+};
+
+const ASK_MS = 25;
+const MAX_WAIT_PART = 0.35;
+
+/** One zone's entry host with the product's own decisions. */
+export class ModelHost {
+	readonly load = new LoadView();
+	readonly warm = new WarmObjects();
+	/** Worker and object hashes since the last exchange, in turn. */
+	sent: number[] = [];
+	readonly #times = new ServiceTimes();
+	readonly #distances = new Distances();
+	readonly #placer: Placer;
+
+	constructor(
+		readonly zone: string,
+		pattern: LoadPattern,
+		policy: Omit<PlacerOptions, 'region'>,
+		private readonly workers: ReadonlyMap<string, ModelWorker>,
+		private readonly clock: Clock,
+		private readonly random: Random,
+	) {
+		const regions = new Map(Object.entries(pattern.regions));
+		const fleet = new Fleet(regions);
+		for (const {name, workers: entries} of pattern.services) {
+			for (const {id, zone: workerZone, slots} of entries) {
+				fleet.put({
+					id, service: name, address: id, zone: workerZone, slots, state: WorkerState.Ready, coldMs: 0, bornMs: 1,
+				}, clock.monotonic());
+			}
+		}
+
+		const region = regions.get(zone)!;
+		for (const other of new Set(regions.values())) {
+			this.#distances.record(other, other === region ? 0 : pattern.roundTripMs);
+		}
+
+		this.#placer = new Placer({region, ...policy}, {
+			fleet,
+			load: this.load,
+			warm: this.warm,
+			times: this.#times,
+			judge: new WorkerJudge(),
+			cold: new ColdLimit(hashText(zone)),
+			distances: this.#distances,
+			hosts: () => 1,
+			warmupPerSecond: () => undefined,
+		});
+	}
+
+	/** Serves one try; calls back once. */
+	serve(one: ModelTry, onEnd: (result: TryResult) => void): void {
+		this.#place(one, this.clock.monotonic(), onEnd);
+	}
+
+	#place(one: ModelTry, startMs: number, onEnd: (result: TryResult) => void): void {
+		const nowMs = this.clock.monotonic();
+		const {route, service, object, targetAtMs, endAtMs, isReturning} = one;
+		const placement = this.#placer.place({
+			route, service, object: hashText(object, hashText(service)), salt: Math.floor(this.random.next() * (2 ** 32)), avoid: new Set(), targetAtMs, endAtMs, isReturning, waitUntilMs: startMs + ((endAtMs - startMs) * MAX_WAIT_PART),
+		}, nowMs);
+		const waitedMs = nowMs - startMs;
+		if (placement.verdict === Verdict.Wait) {
+			this.clock.after(ASK_MS, () => {
+				this.#place(one, startMs, onEnd);
+			});
+		} else if (placement.worker) {
+			this.#send(one, placement, wasWarm => {
+				onEnd({end: TryEnd.Answered, wasWarm, roomInMs: 0, waitedMs});
+			});
+		} else {
+			onEnd({end: TryEnd.Rejected, wasWarm: false, roomInMs: placement.roomInMs, waitedMs});
+		}
+	}
+
+	#send({route, times, service, object}: ModelTry, {worker, warmth, distance, waitMs}: Placement, onDone: (wasWarm: boolean) => void): void {
+		const {entry, hash, region} = worker!;
+		const objectHash = hashText(object, hashText(service));
+		const tripMs = this.#distances.to(region);
+		const sentMs = this.clock.monotonic();
+		this.load.begin(hash);
+		this.warm.record(hash, objectHash);
+		this.sent.push(hash, objectHash);
+		this.clock.after(tripMs / 2, () => {
+			this.workers.get(entry.id)!.submit({
+				object, ...times, onDone: wasWarm => {
+					this.clock.after(tripMs / 2, () => {
+						const nowMs = this.clock.monotonic();
+						this.load.end(hash);
+						const seenWarm = this.#times.record(route, service, hash, warmth, Math.max(1, nowMs - sentMs - tripMs), waitMs, nowMs);
+						if (seenWarm !== undefined && warmth !== Warmth.Sure) {
+							this.warm.learn(service, distance, seenWarm);
+						}
+
+						onDone(wasWarm);
+					});
+				},
+			});
+		});
+	}
+}
+
+/** A route of the product for a route of a pattern. */
+export function toRoute({name, service, targetMs, timeoutMs, priority}: LoadPattern['routes'][number]): Route {
+	return {
+		name, host: '', prefix: '/', kind: RequestKind.Idempotent, timeoutMs, targetMs, priority, maxAttempts: 1, hasAffinity: true, homeRegions: [], shares: [{service, weight: 1}],
+	};
+}
--- /dev/null
+++ b/packages/experiment/src/index.ts
@@ -0,0 +1,7 @@
+export {parsePattern, type LoadPattern} from './pattern.js';
+export {recordPattern, type LogLine, type RecordOptions} from './record.js';
+export {renderReport, type NamedResult} from './report.js';
+export {
+	Experiment, type ExperimentResult, type Policy, type Second, type Tally,
+} from './run.js';
+export {ModelWorker, type Work} from './worker.js';
--- /dev/null
+++ b/packages/experiment/src/run.ts
@@ -0,0 +1,211 @@
+import {FakeClock, type Random} from '@apricotwood/clock';
+import type {PlacerOptions} from '@apricotwood/steering';
+import {
+	ModelHost, TryEnd, toRoute, type ModelTry, type TryResult,
+} from './host.js';
+import type {LoadPattern} from './pattern.js';
+import {ModelWorker} from './worker.js';
+
+/** What is compared: options of the product's placer. */
+export type Policy = Omit<PlacerOptions, 'region'>;
+
+/** How the calls of one route fared. */
+export type Tally = {
+	asked: number;
+	inTime: number;
+	late: number;
+	lost: number;
+	warm: number;
+	waitedMs: number;
+};
+
+/** One second of one service in one region. */
+export type Second = {
+	/** Running and queued requests at the workers, mean of samples. */
+	load: number;
+	samples: number;
+	/** Time that answered and rejected tries waited at hosts, ms in all. */
+	waitedMs: number;
+	tries: number;
+	rejected: number;
+};
+
+export type ExperimentResult = {
+	/** By route. */
+	readonly routes: ReadonlyMap<string, Tally>;
+	/** By service and region, then by second. */
+	readonly seconds: ReadonlyMap<string, Second[]>;
+	/** Value of the answers as a part of what was asked; a late one counts `LATE_VALUE`. */
+	readonly value: number;
+};
+
+const LATE_VALUE = 0.2;
+const EXCHANGE_MS = 200;
+const SAMPLE_MS = 100;
+const MS_PER_SECOND = 1000;
+/** Part of its time after which a rejected caller comes back at the latest. */
+const MAX_RETURN_PART = 1 / 3;
+
+/** Replays a pattern once. The same random numbers give the same result. */
+export class Experiment {
+	readonly #clock = new FakeClock(0);
+	readonly #workers = new Map<string, ModelWorker>();
+	readonly #hosts: ModelHost[];
+	readonly #routes = new Map<string, Tally>();
+	readonly #seconds = new Map<string, Second[]>();
+	#next = 0;
+
+	constructor(private readonly pattern: LoadPattern, policy: Policy, private readonly random: Random) {
+		for (const {memory, workers} of pattern.services) {
+			for (const {id, slots} of workers) {
+				this.#workers.set(id, new ModelWorker(id, slots, memory, this.#clock, random));
+			}
+		}
+
+		this.#hosts = Object.keys(pattern.regions).map(zone => new ModelHost(zone, pattern, policy, this.#workers, this.#clock, random));
+		for (const {name} of pattern.routes) {
+			this.#routes.set(name, {
+				asked: 0, inTime: 0, late: 0, lost: 0, warm: 0, waitedMs: 0,
+			});
+		}
+	}
+
+	run(): ExperimentResult {
+		const {arrivals, routes} = this.pattern;
+		const endMs = (arrivals.at(-1)?.[0] ?? 0) + Math.max(0, ...routes.map(({timeoutMs}) => timeoutMs));
+		this.#exchange(endMs);
+		this.#sample(endMs);
+		this.#arrive();
+		this.#clock.advance(endMs + 1);
+		let asked = 0;
+		let value = 0;
+		for (const tally of this.#routes.values()) {
+			tally.lost = tally.asked - tally.inTime - tally.late;
+			asked += tally.asked;
+			value += tally.inTime + (LATE_VALUE * tally.late);
+		}
+
+		return {routes: this.#routes, seconds: this.#seconds, value: value / Math.max(1, asked)};
+	}
+
+	/** One arrival after the other, so that few timers are pending. */
+	#arrive(): void {
+		const arrival = this.pattern.arrivals[this.#next];
+		if (!arrival) {
+			return;
+		}
+
+		this.#next++;
+		this.#clock.after(Math.max(0, arrival[0] - this.#clock.monotonic()), () => {
+			this.#call(arrival);
+			this.#arrive();
+		});
+	}
+
+	#call([, routeIndex, object, zoneIndex]: LoadPattern['arrivals'][number]): void {
+		const route = this.pattern.routes[routeIndex]!;
+		const nowMs = this.#clock.monotonic();
+		this.#routes.get(route.name)!.asked++;
+		this.#try({
+			route: toRoute(route), times: route, service: route.service, object, targetAtMs: nowMs + route.targetMs, endAtMs: nowMs + route.timeoutMs, isReturning: false,
+		}, this.#hosts[zoneIndex]!);
+	}
+
+	#try(one: ModelTry, host: ModelHost): void {
+		host.serve(one, result => {
+			this.#count(one, host, result);
+			const leftMs = one.endAtMs - this.#clock.monotonic();
+			if (result.end === TryEnd.Rejected && !one.isReturning && leftMs > 0) {
+				const backInMs = Math.min(result.roomInMs * (1 + (0.5 * this.random.next())), leftMs * MAX_RETURN_PART);
+				this.#clock.after(backInMs, () => {
+					this.#try({...one, isReturning: true}, host);
+				});
+			}
+		});
+	}
+
+	#count({route, service, targetAtMs, endAtMs}: ModelTry, {zone}: ModelHost, {end, wasWarm, waitedMs}: TryResult): void {
+		const tally = this.#routes.get(route.name)!;
+		const nowMs = this.#clock.monotonic();
+		const second = this.#secondOf(service, this.pattern.regions[zone]!);
+		tally.waitedMs += waitedMs;
+		second.waitedMs += waitedMs;
+		second.tries++;
+		if (end === TryEnd.Rejected) {
+			second.rejected++;
+			return;
+		}
+
+		tally.warm += Number(wasWarm);
+		if (nowMs <= targetAtMs) {
+			tally.inTime++;
+		} else if (nowMs <= endAtMs) {
+			tally.late++;
+		}
+	}
+
+	#secondOf(service: string, region: string): Second {
+		const key = `${service} ${region}`;
+		let seconds = this.#seconds.get(key);
+		if (!seconds) {
+			seconds = [];
+			this.#seconds.set(key, seconds);
+		}
+
+		const index = Math.floor(this.#clock.monotonic() / MS_PER_SECOND);
+		for (let missing = seconds.length; missing <= index; missing++) {
+			seconds.push({
+				load: 0, samples: 0, waitedMs: 0, tries: 0, rejected: 0,
+			});
+		}
+
+		return seconds[index]!;
+	}
+
+	/** Hosts tell each other their running requests and what they sent, as the product's do. */
+	#exchange(endMs: number): void {
+		const nowMs = this.#clock.monotonic();
+		for (const host of this.#hosts) {
+			const counts = new Map(host.load.ownCounts());
+			for (const other of this.#hosts) {
+				if (other !== host) {
+					other.load.recordPeer(host.zone, counts, nowMs);
+					for (let index = 0; index + 1 < host.sent.length; index += 2) {
+						other.warm.record(host.sent[index]!, host.sent[index + 1]!);
+					}
+				}
+			}
+
+			host.sent = [];
+		}
+
+		if (nowMs < endMs) {
+			this.#clock.after(EXCHANGE_MS, () => {
+				this.#exchange(endMs);
+			});
+		}
+	}
+
+	#sample(endMs: number): void {
+		for (const {name, workers} of this.pattern.services) {
+			const loads = new Map<string, number>();
+			for (const {id, zone} of workers) {
+				const region = this.pattern.regions[zone]!;
+				const {running, queued} = this.#workers.get(id)!;
+				loads.set(region, (loads.get(region) ?? 0) + running + queued);
+			}
+
+			for (const [region, load] of loads) {
+				const second = this.#secondOf(name, region);
+				second.samples++;
+				second.load += (load - second.load) / second.samples;
+			}
+		}
+
+		if (this.#clock.monotonic() < endMs) {
+			this.#clock.after(SAMPLE_MS, () => {
+				this.#sample(endMs);
+			});
+		}
+	}
+}
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -8,5 +8,4 @@
 export {
 	CallEnd, CallKind, newRecords, type Call, type Records,
 } from './records.js';
-export {SeededRandom} from './seeded.js';
 export {soak, type SoakOptions, type SoakResult} from './soak.js';
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -3,10 +3,10 @@
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {parseArgs} from 'node:util';
+import {SeededRandom} from '@apricotwood/clock';
 import {buildProgram} from './build.js';
 import {BREAKAGES} from './breakages.js';
 import {FaultKind} from './plan.js';
-import {SeededRandom} from './seeded.js';
 import {soak} from './soak.js';
 
 const USAGE = `npm run soak -- [--seed N] [--seeds COUNT] [--minutes M] [--hosts N] [--kinds A,B] [--untimed] [--regressions] [--break NAME] [--logs DIR]
--- /dev/null
+++ b/test/cli/experiment.test.ts
@@ -0,0 +1,139 @@
+import assert from 'node:assert/strict';
+import {execFile} from 'node:child_process';
+import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {
+	after, before, test,
+} from 'node:test';
+import {fileURLToPath} from 'node:url';
+import {FakeClock, SeededRandom} from '@apricotwood/clock';
+import {
+	Experiment, ModelWorker, parsePattern, recordPattern, type LoadPattern,
+} from '@apricotwood/experiment';
+import {FindingsError} from '@apricotwood/findings';
+
+const CTL = fileURLToPath(new URL('../../packages/cli/bin/apricotctl.js', import.meta.url));
+let folder = '';
+
+before(() => {
+	folder = mkdtempSync(path.join(tmpdir(), 'experiment-'));
+});
+
+after(() => {
+	rmSync(folder, {recursive: true});
+});
+
+async function ctl(...args: string[]): Promise<{status: number; out: string; err: string}> {
+	return new Promise(resolve => {
+		execFile(process.execPath, [CTL, 'experiment', ...args], {env: {...process.env, NO_COLOR: '1'}}, (error, out, err) => {
+			resolve({status: error ? Number(error.code) : 0, out, err});
+		});
+	});
+}
+
+/** A load that four workers bear only while most work is warm: 60 objects, some of them hot. */
+function makePattern(perSecond: number): LoadPattern {
+	const random = new SeededRandom(9);
+	const arrivals: LoadPattern['arrivals'] = [];
+	for (let atMs = 0; atMs < 10_000; atMs += 2000 * random.next() / perSecond) {
+		arrivals.push([atMs, 0, `o${Math.floor(60 * (random.next() ** 2))}`, Math.floor(random.next() * 2)]);
+	}
+
+	return {
+		regions: {a1: 'a', b1: 'b'},
+		roundTripMs: 20,
+		services: [{name: 'board', memory: 20, workers: ['w1', 'w2', 'w3', 'w4'].map((id, index) => ({id, zone: index < 2 ? 'a1' : 'b1', slots: 4}))}],
+		routes: [{
+			name: 'lookup', service: 'board', targetMs: 400, timeoutMs: 2000, priority: 1, warmMs: 120, coldMs: 360,
+		}],
+		arrivals,
+	};
+}
+
+test('model: a worker runs as much as it has slots, remembers what it handled last, and forgets the rest', () => {
+	const clock = new FakeClock(0);
+	const worker = new ModelWorker('w', 1, 2, clock, {next: () => 0.5});
+	const done: Array<readonly [string, boolean, number]> = [];
+	for (const object of ['a', 'a', 'b', 'c', 'a']) {
+		worker.submit({
+			object, warmMs: 100, coldMs: 300, onDone(wasWarm) {
+				done.push([object, wasWarm, clock.monotonic()]);
+			},
+		});
+	}
+
+	assert.equal(worker.running, 1);
+	assert.equal(worker.queued, 4);
+	clock.advance(5000);
+	assert.deepEqual(done, [['a', false, 300], ['a', true, 400], ['b', false, 700], ['c', false, 1000], ['a', false, 1300]]);
+});
+
+test('experiment: the same seed gives the same result, and every call is counted once', () => {
+	const run = () => new Experiment(makePattern(80), {copies: 4}, new SeededRandom(3)).run();
+	const first = run();
+	assert.deepEqual(first, run());
+	const tally = first.routes.get('lookup')!;
+	assert.equal(tally.inTime + tally.late + tally.lost, makePattern(80).arrivals.length);
+	assert.ok(first.value > 0.5 && first.value <= 1, String(first.value));
+});
+
+test('experiment: under a load that only warm work bears, few copies serve more than workers at random', () => {
+	const values = [2, 4].map(copies => new Experiment(makePattern(90), {copies}, new SeededRandom(3)).run().value);
+	const pattern = makePattern(90);
+	const cold = new Experiment({...pattern, services: pattern.services.map(service => ({...service, memory: 1}))}, {copies: 4}, new SeededRandom(3)).run().value;
+	assert.ok(Math.min(...values) > cold, `${values.join(', ')} and ${cold}`);
+});
+
+test('experiment: the command ranks policies and writes a report', async () => {
+	const file = path.join(folder, 'load.json');
+	const report = path.join(folder, 'report.html');
+	writeFileSync(file, JSON.stringify(makePattern(90)));
+	const {status, out} = await ctl('run', file, '--policy', 'copies=1', '--policy', 'copies=4,nearness=1', '--report', report);
+	assert.equal(status, 0);
+	const rows = out.trim().split('\n').slice(1).map(line => Number(line.split(/\s{2,}/)[1]));
+	assert.equal(rows.length, 2);
+	assert.ok(rows[0]! >= rows[1]!);
+	const html = readFileSync(report, 'utf8');
+	assert.match(html, /copies=4,nearness=1/);
+	assert.match(html, /<h2>board a<\/h2>/);
+	assert.equal(html.match(/<polyline/g)?.length, 2 * 2 * 3);
+});
+
+test('experiment: bad input is told with its place', async () => {
+	const file = path.join(folder, 'bad.json');
+	const bad = makePattern(5);
+	writeFileSync(file, JSON.stringify({...bad, routes: [{...bad.routes[0], service: 'nowhere', targetMs: -1}]}));
+	const {status, err} = await ctl('run', file);
+	assert.equal(status, 2);
+	assert.match(err, /routes\[0]\.targetMs: must be above 0/);
+	assert.throws(() => parsePattern({...bad, arrivals: [[0, 7, 'o', 0]]}), (error: unknown) => error instanceof FindingsError && error.message.includes('arrivals[0]: names a route or zone that is not there'));
+	assert.equal((await ctl('run', path.join(folder, 'none.json'))).status, 2);
+	assert.equal((await ctl('run', file, '--policy', 'copies=0')).status, 2);
+	assert.equal((await ctl('record', '--logs', '/nowhere', '--out', file)).status, 2);
+});
+
+test('experiment: a pattern is made of logs, without the callers that come back', () => {
+	const line = (at: number, fields: Record<string, unknown>) => ({
+		at, self: 'h1', event: 'request', route: 'r', service: 's', object: 'o', ms: 100, targetLeftMs: 300, ...fields,
+	});
+	const pattern = recordPattern([
+		{at: 0, self: 'h1', event: 'start', zone: 'z1'},
+		{
+			at: 1, self: 'h1', event: 'worker', worker: 'w1', service: 's', zone: 'z2', state: 'ready',
+		},
+		{
+			at: 2, self: 'h1', event: 'beliefs', memory: {s: 30}, times: {'r s': [110, 350]},
+		},
+		line(1100, {}),
+		line(1600, {ms: 500, targetLeftMs: -100}),
+		line(1700, {ms: 100, targetLeftMs: 50}),
+	], zone => `region-of-${zone}`, {slots: new Map([['s', 6]]), defaultSlots: 4, roundTripMs: 24});
+	assert.deepEqual(parsePattern(pattern), pattern);
+	assert.deepEqual(pattern.regions, {z1: 'region-of-z1', z2: 'region-of-z2'});
+	assert.deepEqual(pattern.services, [{name: 's', memory: 30, workers: [{id: 'w1', zone: 'z2', slots: 6}]}]);
+	assert.deepEqual(pattern.arrivals, [[0, 0, 'o', 0], [0, 0, 'o', 0]]);
+	const {targetMs, warmMs, coldMs} = pattern.routes[0]!;
+	assert.deepEqual([targetMs, warmMs, coldMs], [400, 110, 350]);
+});
--- a/test/entry/beats.test.ts
+++ b/test/entry/beats.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {SeededRandom} from '@apricotwood/soak';
+import {SeededRandom} from '@apricotwood/clock';
 import {PeerWorld, type PeerHost} from '../fixtures/peer-world.js';
 
 const SETTLE_MS = 4000;
--- a/test/entry/follow.test.ts
+++ b/test/entry/follow.test.ts
@@ -1,9 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {FakeClock} from '@apricotwood/clock';
+import {FakeClock, SeededRandom} from '@apricotwood/clock';
 import {Follower, SharedState, type SteeringSource} from '@apricotwood/entry';
 import {Metrics, SILENT_LOG} from '@apricotwood/telemetry';
-import {SeededRandom} from '@apricotwood/soak';
 import {REGIONS, makeWorker} from '../fixtures/workers.js';
 
 /** A source that can be made to fail, or not to answer. */
--- a/test/entry/patience.test.ts
+++ b/test/entry/patience.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {SeededRandom} from '@apricotwood/clock';
 import {Patience} from '@apricotwood/entry';
-import {SeededRandom} from '@apricotwood/soak';
 
 test('patience: few callers that wait longer make nobody else a returning one (scale-2 of hooghly-oars)', () => {
 	const patience = new Patience();
--- a/test/entry/state.test.ts
+++ b/test/entry/state.test.ts
@@ -1,12 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {FakeClock} from '@apricotwood/clock';
+import {FakeClock, SeededRandom} from '@apricotwood/clock';
 import {
 	Members, SharedState, readDueInMs, type HostEntry, type WorkersUpdate,
 } from '@apricotwood/entry';
 import {DEFAULT_LIMITS, type SteeringConfig, type WorkerEntry} from '@apricotwood/steering';
 import {SILENT_LOG} from '@apricotwood/telemetry';
-import {SeededRandom} from '@apricotwood/soak';
 import {REGIONS, makeRoute, makeWorker} from '../fixtures/workers.js';
 
 function makeState(clock: FakeClock): SharedState {
--- a/test/soak/links.test.ts
+++ b/test/soak/links.test.ts
@@ -3,8 +3,9 @@
 	connect, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import {test} from 'node:test';
+import {SeededRandom} from '@apricotwood/clock';
 import {
-	FaultKind, Link, LinkState, SeededRandom, drawPlan,
+	FaultKind, Link, LinkState, drawPlan,
 } from '@apricotwood/soak';
 
 test('plan: the same seed gives the same faults, in overlapping series', () => {
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -4,7 +4,8 @@
 import process from 'node:process';
 import {after, before, test} from 'node:test';
 import {fileURLToPath} from 'node:url';
-import {SeededRandom, buildProgram, soak} from '@apricotwood/soak';
+import {SeededRandom} from '@apricotwood/clock';
+import {buildProgram, soak} from '@apricotwood/soak';
 
 const root = fileURLToPath(new URL('../../', import.meta.url));
 const directory = path.join(root, '.soak', `test-${process.pid}`);
--- a/test/steering/limits.test.ts
+++ b/test/steering/limits.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {SeededRandom} from '@apricotwood/clock';
 import {
 	ColdLimit, Fleet, RepeatBudget, ServiceSplit,
 } from '@apricotwood/steering';
-import {SeededRandom} from '@apricotwood/soak';
 import {REGIONS, makeRoute, makeWorker} from '../fixtures/workers.js';
 
 /** Most events inside any span of `spanMs`. */
--- a/test/steering/placer.test.ts
+++ b/test/steering/placer.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {SeededRandom} from '@apricotwood/clock';
 import {
 	AttemptSign, PlacementReason, RequestKind, Verdict, type PlacementRequest, type WorkerEntry,
 } from '@apricotwood/steering';
-import {SeededRandom} from '@apricotwood/soak';
 import {
 	makePlacer, makeRequest, makeRoute, makeWorker,
 } from '../fixtures/workers.js';
--- a/test/steering/warmth.test.ts
+++ b/test/steering/warmth.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {SeededRandom} from '@apricotwood/clock';
 import {ServiceTimes, WarmObjects, Warmth} from '@apricotwood/steering';
-import {SeededRandom} from '@apricotwood/soak';
 import {makeRoute} from '../fixtures/workers.js';
 
 /** A worker that remembers its latest objects. */
