fix(entry): a cancelled answer without a length does not end the process; fix(soak): hosts end with the soak

Cause: with the reset of today, a worker's socket closes without an error. The client takes that for the end of an answer without a length, completes a request that was aborted before, and its assertion ends the process. The socket gets an error first now.

Test: exchange, one that is cancelled within an answer without a length (failed before). resetSocket is what Node does, for sockets that can be reset.

The soak ends its hosts when it is ended itself; hosts that do not become ready again are a breach, and not the end of the run.

--- a/packages/entry/src/upstream/connection.ts
+++ b/packages/entry/src/upstream/connection.ts
@@ -67,13 +67,13 @@
 		return this.#isClosed;
 	}
 
-	/** Ends the connection at once. Bytes that have not reached the worker yet are dropped, and not sent once it can be reached again. */
+	/** Resets the connection. Bytes that have not reached the worker yet are dropped, and not sent once it can be reached again. */
 	reset(): void {
-		if (this.#socket) {
+		if (this.#socket && !this.#socket.destroyed) {
+			// Without an error the client would take this for the end of an answer without a length.
+			this.#socket.emit('error', new Error('reset by this host'));
 			resetSocket(this.#socket);
 		}
-
-		this.close();
 	}
 
 	/** Ends the connection. */
--- a/packages/entry/src/upstream/exchange.ts
+++ b/packages/entry/src/upstream/exchange.ts
@@ -89,6 +89,11 @@
 		return this.#wasSent;
 	}
 
+	/** Whether the worker has begun to answer. */
+	get hasBegun(): boolean {
+		return this.#head !== undefined;
+	}
+
 	async run(): Promise<ExchangeResult> {
 		const {method, path, headers, body} = this.request;
 		return new Promise(resolve => {
@@ -106,6 +111,7 @@
 		this.#finish(this.#isStreaming ? ExchangeEnd.Cut : ExchangeEnd.Cancelled, 'ended by this host', false);
 		this.connection.reset();
 		this.#controller?.abort(new Error('cancelled'));
+		this.connection.close();
 	}
 
 	onRequestStart(controller: Dispatcher.DispatchController): void {
--- a/packages/soak/src/host.ts
+++ b/packages/soak/src/host.ts
@@ -4,6 +4,22 @@
 import process from 'node:process';
 import {callerAddress, readyAddress, usersSettings, type StandinHost} from '@apricotwood/platform/standin';
 
+/** Processes that end with this one, however it ends. */
+const children = new Set<ChildProcess>();
+
+process.once('exit', () => {
+	for (const child of children) {
+		child.kill('SIGKILL');
+	}
+});
+
+function killAtExit(child: ChildProcess): void {
+	children.add(child);
+	child.once('exit', () => {
+		children.delete(child);
+	});
+}
+
 /** How a host's process ended. */
 export type HostExit = {
 	readonly host: string;
@@ -61,6 +77,7 @@
 		child.stdout.pipe(log, {end: false});
 		child.stderr.pipe(log, {end: false});
 		this.#child = child;
+		killAtExit(child);
 		this.#isWanted = false;
 		this.stoppingSinceMs = undefined;
 		child.on('exit', (code, signal) => {
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -48,6 +48,13 @@
 	},
 });
 
+for (const name of ['SIGINT', 'SIGTERM'] as const) {
+	// Leaving by way of `exit` ends the hosts as well.
+	process.on(name, () => {
+		process.exit(1); // eslint-disable-line unicorn/no-process-exit
+	});
+}
+
 function fail(message: string): never {
 	console.error(message);
 	process.exit(2); // eslint-disable-line unicorn/no-process-exit
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -30,6 +30,7 @@
 	const plan = drawPlan(random, options.spanMs, options.kinds);
 	const world = new World(options);
 	const {records} = world;
+	const breaches: Breach[] = [];
 	try {
 		await world.start();
 		const callers = new Callers(world, random);
@@ -39,14 +40,16 @@
 			await pause(Math.max(0, startMs + fault.atMs - Date.now()));
 			await strike(world, fault);
 		}));
-		await world.heal();
+		const missing = await world.heal();
 		await pause(RECOVERY_MS);
 		records.calmFromMs = Date.now();
 		await pause(CALM_MS);
 		await callers.stop();
+		breaches.push(...missing.map(subject => ({promise: 'recover', subject, message: 'did not become ready after everything was healed'})));
 	} finally {
 		await world.stop();
 	}
 
-	return {plan, records, breaches: judge(records, options.isTimed ? {...ALWAYS, ...TIMED} : ALWAYS)};
+	breaches.push(...judge(records, options.isTimed ? {...ALWAYS, ...TIMED} : ALWAYS));
+	return {plan, records, breaches};
 }
--- a/packages/soak/src/world.ts
+++ b/packages/soak/src/world.ts
@@ -22,6 +22,9 @@
 const SERVICES = ['board', 'desk'] as const;
 const WORKERS_PER_SERVICE = 4;
 const WORK_MS = 25;
+/** Time for all hosts to become ready at the start, and after the last fault, ms. */
+const START_MS = 30_000;
+const HEAL_MS = 15_000;
 /** Networks of parallel runs differ by the process id. */
 const FIRST_NETWORK = 20;
 const NETWORKS = 200;
@@ -105,20 +108,9 @@
 			host.start();
 		}
 
-		await this.waitUntilReady(30_000);
-	}
-
-	/** @throws when a host is not ready in time. */
-	async waitUntilReady(limitMs: number): Promise<void> {
-		const endMs = Date.now() + limitMs;
-		for (const host of this.hosts) {
-			while (!await host.isReady()) { // eslint-disable-line no-await-in-loop
-				if (Date.now() > endMs) {
-					throw new Error(`${host.place.id} did not become ready`);
-				}
-
-				await pause(50); // eslint-disable-line no-await-in-loop
-			}
+		const missing = await this.#waitUntilReady(START_MS);
+		if (missing.length > 0) {
+			throw new Error(`not ready after ${START_MS} ms: ${missing.join(', ')}`);
 		}
 	}
 
@@ -173,8 +165,8 @@
 		host.start();
 	}
 
-	/** Undoes whatever is still disturbed. */
-	async heal(): Promise<void> {
+	/** Undoes whatever is still disturbed. @returns ids of hosts that do not become ready. */
+	async heal(): Promise<string[]> {
 		this.store.mood = StoreMood.Well;
 		this.store.losesAnswers = false;
 		for (const link of [...this.storeLinks.values(), ...this.callerLinks.values(), ...this.seats.map(seat => seat.link)]) {
@@ -195,7 +187,7 @@
 			host.start();
 		}
 
-		await this.waitUntilReady(15_000);
+		return this.#waitUntilReady(HEAL_MS);
 	}
 
 	/** Ends everything, the processes by their ids. */
@@ -212,6 +204,25 @@
 		this.records.runs.push(...this.seats.flatMap(({worker}) => worker.runs));
 	}
 
+	/** @returns ids of hosts that are not ready in time. */
+	async #waitUntilReady(limitMs: number): Promise<string[]> {
+		const endMs = Date.now() + limitMs;
+		const missing: string[] = [];
+		for (const host of this.hosts) {
+			let isReady = await host.isReady(); // eslint-disable-line no-await-in-loop
+			while (!isReady && Date.now() < endMs) {
+				await pause(50); // eslint-disable-line no-await-in-loop
+				isReady = await host.isReady(); // eslint-disable-line no-await-in-loop
+			}
+
+			if (!isReady) {
+				missing.push(host.place.id);
+			}
+		}
+
+		return missing;
+	}
+
 	async #addHost(id: string, ip: string, zone: string, seeds: readonly string[]): Promise<void> {
 		const storeLink = await new Link(() => this.store.address).start();
 		const callerLink = await new Link(() => callerAddress(ip)).start();
--- a/test/entry/exchange.test.ts
+++ b/test/entry/exchange.test.ts
@@ -3,6 +3,7 @@
 import {
 	connect, createServer, type AddressInfo, type Socket,
 } from 'node:net';
+import process from 'node:process';
 import {test} from 'node:test';
 import {
 	Connection, Exchange, ExchangeEnd, resetSocket, type AnswerSink, type ExchangeRequest, type ExchangeResult,
@@ -168,6 +169,39 @@
 	server.close();
 });
 
+test('exchange: one that is cancelled within an answer without a length ends quietly (soak, seed 2001)', async () => {
+	const worker = await new RawWorker(socket => socket.write(`${HEAD}Connection: close\r\n\r\npart`)).start();
+	const uncaught: unknown[] = [];
+	const note = (error: unknown) => {
+		uncaught.push(error);
+	};
+
+	process.on('uncaughtException', note);
+	for (let round = 0; round < 5; round++) {
+		const connection = new Connection(worker.address);
+		const running = new Exchange(connection, {
+			method: 'GET', path: '/a/', headers: ['Host', 'a.example', 'Request-Id', 'r1'], body: undefined, requestId: 'r1',
+		}, new PlatformDialect(), SILENT_SINK);
+		const ended = running.run();
+		while (!running.hasBegun) {
+			await new Promise(resolve => {
+				setImmediate(resolve);
+			});
+		}
+
+		running.cancel();
+		const {end} = await ended;
+		assert.equal(end, ExchangeEnd.Cancelled);
+		await new Promise(resolve => {
+			setTimeout(resolve, 20);
+		});
+	}
+
+	process.off('uncaughtException', note);
+	assert.deepEqual(uncaught, []);
+	await worker.stop();
+});
+
 test('exchange: a cancelled one ends its connection at once', async () => {
 	const worker = await new RawWorker(() => {}).start();
 	const connection = new Connection(worker.address);
