--- a/packages/soak/src/host.ts
+++ b/packages/soak/src/host.ts
@@ -1,5 +1,7 @@
 import {spawn, type ChildProcess} from 'node:child_process';
-import {createWriteStream, mkdirSync, writeFileSync} from 'node:fs';
+import {
+	createWriteStream, mkdirSync, readFileSync, writeFileSync,
+} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import {callerAddress, readyAddress, usersSettings, type StandinHost} from '@apricotwood/platform/standin';
@@ -58,6 +60,16 @@
 		return this.#child?.pid;
 	}
 
+	/** What the system says of the process: running, sleeping, stopped; for the log of a host that does not answer. */
+	describe(): string {
+		try {
+			const fields = readFileSync(`/proc/${this.pid}/stat`, 'utf8').split(' ');
+			return `process ${this.pid} in state ${fields[2]}, ${fields[13]} ticks of its own, ${fields[14]} in the kernel`;
+		} catch {
+			return `process ${this.pid ?? 'none'}, state unknown`;
+		}
+	}
+
 	get isRunning(): boolean {
 		return this.#child !== undefined;
 	}
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -27,6 +27,8 @@
 	readonly minutes: number;
 	readonly hosts: number;
 	readonly kinds?: readonly FaultKind[] | undefined;
+	/** Why a seed of the regressions failed once. */
+	readonly cause?: string;
 };
 
 const root = fileURLToPath(new URL('../../../', import.meta.url));
@@ -77,7 +79,11 @@
 	}));
 }
 
-async function runJob({seed, minutes, hosts, kinds}: Job, program: string): Promise<boolean> {
+async function runJob({seed, minutes, hosts, kinds, cause}: Job, program: string): Promise<boolean> {
+	if (cause !== undefined) {
+		console.log(`seed ${seed} failed once: ${cause}`);
+	}
+
 	const directory = path.join(values.logs, `seed-${seed}`);
 	mkdirSync(directory, {recursive: true});
 	const {plan, records, breaches} = await soak(new SeededRandom(seed), {
--- a/packages/soak/src/world.ts
+++ b/packages/soak/src/world.ts
@@ -216,7 +216,7 @@
 			}
 
 			if (!isReady) {
-				missing.push(host.place.id);
+				missing.push(`${host.place.id}: ${host.describe()}`);
 			}
 		}
 
