fix(entry): an absurd time of a caller does not hold up the host

Cause: waits were told apart in steps of the first one; a step beyond 2^53 plus one is itself, and the search for the range of first tries did not end. A caller that says 1e300 ms often enough would have stopped the host. Steps are bounded. Found by reading; test: patience, absurd times (timed out before).

--- a/packages/entry/src/request/patience.ts
+++ b/packages/entry/src/request/patience.ts
@@ -1,5 +1,7 @@
 /** Waits are told apart in steps of this part of a route's first seen wait. */
 const STEP_PART = 0.025;
+/** Longer waits count as this many steps, whatever a caller writes. */
+const MAX_STEPS = 1000;
 /** A step belongs to the first tries while it holds this part of the most common step's requests. */
 const MIN_DENSITY = 0.25;
 /** So many steps in a row without enough requests end the range of first tries. */
@@ -53,7 +55,7 @@
 }
 
 function record(habit: Habit, waitsMs: number): void {
-	const step = Math.round(waitsMs / habit.stepMs);
+	const step = Math.min(MAX_STEPS, Math.round(waitsMs / habit.stepMs));
 	habit.counts.set(step, (habit.counts.get(step) ?? 0) + 1);
 	habit.total++;
 	habit.sinceReview++;
--- a/test/entry/patience.test.ts
+++ b/test/entry/patience.test.ts
@@ -63,3 +63,12 @@
 		assert.equal(patience.spent('r', 2000 * (0.85 + (0.15 * random.next()))), 0);
 	}
 });
+
+test('patience: callers that say absurd times stop nothing', {timeout: 10_000}, () => {
+	const patience = new Patience();
+	for (const waitsMs of [40, 0, 1e300, 2 ** 53, Number.MAX_VALUE]) {
+		for (let index = 0; index < 100; index++) {
+			assert.ok(patience.spent('r', waitsMs) >= 0);
+		}
+	}
+});
