fix(soak): an address that is used again twice at once leaves each worker its own record

Two overlapping faults on one seat left it with the other worker, whose record was then counted twice.

--- a/packages/soak/src/strike.ts
+++ b/packages/soak/src/strike.ts
@@ -123,15 +123,14 @@
 /** The worker falls silent, and one of another service answers at its address until it is back. */
 async function reuseAddress(world: World, fault: Fault): Promise<void> {
 	const seat = seatOf(world, fault);
-	const {worker} = seat;
 	const other = world.seats.find(({service}) => service !== seat.service)!;
 	await disturbed(world, fault, seat.id, async () => {
 		seat.link.setState(LinkState.Reset);
-		seat.worker = other.worker;
+		seat.answering = other.worker;
 		seat.link.setState(LinkState.Well);
 		await pause(fault.forMs);
 		seat.link.setState(LinkState.Reset);
-		seat.worker = worker;
+		seat.answering = seat.worker;
 		seat.link.setState(LinkState.Well);
 	});
 }
--- a/packages/soak/src/world.ts
+++ b/packages/soak/src/world.ts
@@ -35,7 +35,9 @@
 /** A worker behind its link, with what the store says of it. */
 export class WorkerSeat {
 	readonly link: Link;
-	worker: UsersWorker;
+	readonly worker: UsersWorker;
+	/** Who answers at the seat's address; another one while that is used again. */
+	answering: UsersWorker;
 	/** Whether a fault has it leave; another one then leaves it alone. */
 	isLeaving = false;
 	#born = 1;
@@ -43,7 +45,8 @@
 	constructor(readonly id: string, readonly service: string, readonly zone: string, private readonly store: UsersStore) {
 		this.worker = new UsersWorker(id, service, zone);
 		this.worker.workMs = WORK_MS;
-		this.link = new Link(() => this.worker.address);
+		this.answering = this.worker;
+		this.link = new Link(() => this.answering.address);
 	}
 
 	async start(): Promise<void> {
