--- a/test/hosts/several.test.ts
+++ b/test/hosts/several.test.ts
@@ -36,7 +36,8 @@
 			const answers = await burst(rig, rig.port, 4);
 			return answers.every(answer => answer.headers['apricotwood-outcome'] === 'answered');
 		});
-		assert.ok(rig.lines.some(line => line.event === 'forward'));
+		const {body: ledger} = await call(rig.port, {path: '/v1/ledger'});
+		assert.ok(rig.lines.some(line => line.event === 'forward'), `nothing was passed on; ${ledger}`);
 		for (const worker of rig.workers.values()) {
 			assert.ok(worker.peak <= 2, `${worker.name} ran ${worker.peak} at one time`);
 		}
