--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -4,6 +4,7 @@
 } from 'node:http';
 import type {Socket} from 'node:net';
 import type {Random} from '@apricotwood/clock';
+import {callerHeaders, signatureOf} from '@apricotwood/platform/standin';
 import {CALL_TIMEOUT_MS, expectedAnswer} from './promises.js';
 import {CallEnd, CallKind, type Call} from './records.js';
 import {pause, type World} from './world.js';
@@ -124,7 +125,7 @@
 		return new Promise(resolve => {
 			const req = request({
 				host: ip, port, path: call.url, method: call.method, agent, headers: {
-					host: 'a.example', 'request-id': call.id, 'request-deadline-ms': String(CALL_TIMEOUT_MS), 'affinity-key': call.url.split('?')[0]!, 'content-length': call.bytes,
+					...callerHeaders(call.id, CALL_TIMEOUT_MS, call.url.split('?')[0]!), 'content-length': call.bytes,
 				},
 			});
 			const finish = (end: CallEnd, isOpen: boolean) => {
@@ -152,7 +153,7 @@
 		});
 		req.on('response', (res: IncomingMessage) => {
 			call.status = res.statusCode ?? 0;
-			call.signature = res.headers['server-signature'] as string | undefined;
+			call.signature = signatureOf(res.headers);
 			let body = '';
 			res.on('data', chunk => {
 				body += String(chunk);
