refactor: one piece of code for what stood twice between the host, the offline replay and the command line

No behaviour changes. The decisions how long a request waits and when a rejected caller comes back move from the session to steering, where the replay takes them too, as it does the hash of an object and the list of sent objects. The replay left out what learning ignores anyway (objects that are surely warm), and adds up its tallies once. LogLine has one copy, in telemetry; reading a folder of logs is one method of the commands. Relays find their rank in one place, and listeners are dependants that a message is for. A beat with the host's own entry is encoded only when a silent host is among its listeners, not with every beat.

--- a/packages/cli/src/base.ts
+++ b/packages/cli/src/base.ts
@@ -1,7 +1,9 @@
 import {readFileSync} from 'node:fs';
+import type {LogLine} from '@apricotwood/telemetry';
 import {Command, Flags} from '@oclif/core';
 import VError from 'verror';
 import {ApiClient, ApiErrorName} from './client.js';
+import {listFiles, readLines} from './trace.js';
 
 /** How a command ends. */
 export enum ExitCode {
@@ -35,6 +37,12 @@
 		}
 	}
 
+	/** Lines of a log file, or of all files of a folder. */
+	protected readLogs(place: string): LogLine[] {
+		const files = listFiles(place) ?? this.error(`${place}: no such file or folder`, {exit: ExitCode.BadInput});
+		return files.flatMap(file => readLines(readFileSync(file, 'utf8')));
+	}
+
 	/** Reads a JSON file, or standard input for `-`. */
 	protected readJson(path: string): unknown {
 		try {
--- a/packages/cli/src/commands/experiment/record.ts
+++ b/packages/cli/src/commands/experiment/record.ts
@@ -1,8 +1,7 @@
-import {readFileSync, writeFileSync} from 'node:fs';
+import {writeFileSync} from 'node:fs';
 import {recordPattern} from '@apricotwood/experiment';
 import {Flags} from '@oclif/core';
 import {BaseCommand, ExitCode} from '../../base.js';
-import {listFiles, readLines} from '../../trace.js';
 
 const DEFAULT_SLOTS = 4;
 
@@ -20,14 +19,10 @@
 
 	async run(): Promise<{arrivals: number; services: number}> {
 		const {flags} = await this.parse(ExperimentRecord);
-		const files = listFiles(flags.logs);
-		if (!files) {
-			this.error(`${flags.logs}: no such file or folder`, {exit: ExitCode.BadInput});
-		}
-
+		const lines = this.readLogs(flags.logs);
 		const regions = this.#pairs('region', flags.region);
 		const slots = new Map([...this.#pairs('slots', flags.slots)].map(([service, text]) => [service, this.#toSlots(service, text)]));
-		const pattern = recordPattern(files.flatMap(file => readLines(readFileSync(file, 'utf8'))), zone => regions.get(zone) ?? zone, {
+		const pattern = recordPattern(lines, zone => regions.get(zone) ?? zone, {
 			slots, defaultSlots: DEFAULT_SLOTS, roundTripMs: flags['round-trip'],
 		});
 		writeFileSync(flags.out, JSON.stringify(pattern));
--- a/packages/cli/src/commands/experiment/run.ts
+++ b/packages/cli/src/commands/experiment/run.ts
@@ -31,7 +31,9 @@
 		const {args, flags} = await this.parse(ExperimentRun);
 		const pattern = parsePattern(this.readJson(args.pattern));
 		const results: NamedResult[] = flags.policy.map(name => ({name, result: new Experiment(pattern, this.#toPolicy(name), new SeededRandom(flags.seed)).run()}));
-		const rows = results.map(({name, result}) => toRow(name, result)).toSorted((a, b) => b.value - a.value);
+		const rows = results.map(({name, result: {value, total: {inTime, late, lost}}}): Row => ({
+			policy: name, value, inTime, late, lost,
+		})).toSorted((a, b) => b.value - a.value);
 		this.printTable(['policy', 'value', 'in time', 'late', 'lost'], rows.map(({policy, value, inTime, late, lost}) => [policy, value.toFixed(3), inTime, late, lost]));
 		if (flags.report !== undefined) {
 			writeFileSync(flags.report, renderReport(results));
@@ -55,18 +57,3 @@
 		return policy;
 	}
 }
-
-function toRow(policy: string, {routes, value}: NamedResult['result']): Row {
-	let inTime = 0;
-	let late = 0;
-	let lost = 0;
-	for (const tally of routes.values()) {
-		inTime += tally.inTime;
-		late += tally.late;
-		lost += tally.lost;
-	}
-
-	return {
-		policy, value, inTime, late, lost,
-	};
-}
--- a/packages/cli/src/commands/trace.ts
+++ b/packages/cli/src/commands/trace.ts
@@ -1,9 +1,7 @@
-import {readFileSync} from 'node:fs';
+import type {LogLine} from '@apricotwood/telemetry';
 import {Args, Flags} from '@oclif/core';
 import {BaseCommand, ExitCode} from '../base.js';
-import {
-	findTrace, listFiles, readLines, type TraceLine,
-} from '../trace.js';
+import {findTrace} from '../trace.js';
 
 /** Span around a request in which other lines may have to do with it. */
 const DEFAULT_AROUND_MS = 3000;
@@ -18,15 +16,9 @@
 		around: Flags.integer({default: DEFAULT_AROUND_MS, min: 0, description: 'span before and after the request, ms'}),
 	};
 
-	async run(): Promise<readonly TraceLine[]> {
+	async run(): Promise<readonly LogLine[]> {
 		const {args, flags} = await this.parse(Trace);
-		const files = listFiles(flags.logs);
-		if (!files) {
-			this.error(`${flags.logs}: no such file or folder`, {exit: ExitCode.BadInput});
-		}
-
-		const lines = files.flatMap(file => readLines(readFileSync(file, 'utf8')));
-		const trace = findTrace(lines, args.id, flags.around);
+		const trace = findTrace(this.readLogs(flags.logs), args.id, flags.around);
 		if (trace.length === 0) {
 			this.error(`no line names request ${args.id} in ${flags.logs}`, {exit: ExitCode.Failed});
 		}
--- a/packages/cli/src/trace.ts
+++ b/packages/cli/src/trace.ts
@@ -1,14 +1,6 @@
 import {readdirSync, statSync} from 'node:fs';
 import path from 'node:path';
-
-/** One line of a host's log. */
-export type TraceLine = {
-	/** Unix ms. */
-	readonly at: number;
-	/** Id of the host. */
-	readonly self: string;
-	readonly event: string;
-} & Readonly<Record<string, unknown>>;
+import type {LogLine} from '@apricotwood/telemetry';
 
 /** What a host learns, and may explain what it did with a request. */
 const BACKGROUND = new Set([
@@ -40,8 +32,8 @@
 }
 
 /** Reads the JSON lines of a log; text before a line's JSON, such as a collector's own time, and other lines are passed over. */
-export function readLines(text: string): TraceLine[] {
-	const lines: TraceLine[] = [];
+export function readLines(text: string): LogLine[] {
+	const lines: LogLine[] = [];
 	for (const line of text.split('\n')) {
 		const start = line.indexOf('{');
 		const parsed = start === -1 ? undefined : parseLine(line.slice(start));
@@ -54,7 +46,7 @@
 }
 
 /** Lines of a request, with what its hosts learnt around it of its workers and of what concerns all requests, in order of time. */
-export function findTrace(lines: readonly TraceLine[], id: string, aroundMs: number): TraceLine[] {
+export function findTrace(lines: readonly LogLine[], id: string, aroundMs: number): LogLine[] {
 	const own = lines.filter(line => line.id === id);
 	const hosts = new Set(own.map(({self}) => self));
 	const workers = new Set(own.flatMap(line => workersOf(line)));
@@ -66,14 +58,14 @@
 	return [...own, ...related].toSorted((a, b) => a.at - b.at);
 }
 
-function workersOf({attempts}: TraceLine): string[] {
+function workersOf({attempts}: LogLine): string[] {
 	return Array.isArray(attempts) ? attempts.map(attempt => String((attempt as {worker?: unknown}).worker)) : [];
 }
 
-function parseLine(text: string): TraceLine | undefined {
+function parseLine(text: string): LogLine | undefined {
 	try {
-		const value = JSON.parse(text) as Partial<TraceLine>;
-		return typeof value.at === 'number' && typeof value.event === 'string' && typeof value.self === 'string' ? value as TraceLine : undefined;
+		const value = JSON.parse(text) as Partial<LogLine>;
+		return typeof value.at === 'number' && typeof value.event === 'string' && typeof value.self === 'string' ? value as LogLine : undefined;
 	} catch {
 		// A line that was cut, or of another program.
 		return undefined;
--- a/packages/entry/src/peer/beats.ts
+++ b/packages/entry/src/peer/beats.ts
@@ -98,12 +98,9 @@
 		};
 		this.#sent = [];
 		this.#zoneSent = [];
-		const plain = encodeBeat(beat);
-		const withEntry = encodeBeat({...beat, entries: [...beat.entries.filter(({id}) => id !== members.self.id), members.self]});
-		for (const member of audience.members) {
-			this.#sendTo(member, members.isAlive(member, nowMs) ? plain : withEntry);
-		}
-
+		const isAlive = (member: Member) => members.isAlive(member, nowMs);
+		this.#sendAll(audience.members.filter(member => isAlive(member)), beat);
+		this.#sendAll(audience.members.filter(member => !isAlive(member)), {...beat, entries: [...beat.entries.filter(({id}) => id !== members.self.id), members.self]});
 		this.#count++;
 	}
 
@@ -112,6 +109,17 @@
 		this.deps.channel.send(encodeBeat({...this.#compose(), entries: [this.deps.members.self]}), {ip, port});
 	}
 
+	#sendAll(members: readonly Member[], beat: Beat): void {
+		if (members.length === 0) {
+			return;
+		}
+
+		const bytes = encodeBeat(beat);
+		for (const member of members) {
+			this.#sendTo(member, bytes);
+		}
+	}
+
 	#sendTo({entry: {ip, peerPort}}: Member, bytes: Buffer): void {
 		this.deps.channel.send(bytes, {ip, port: peerPort});
 	}
@@ -226,7 +234,7 @@
 		}
 
 		load.recordPeer(member.entry.id, beat.loads, nowMs);
-		this.#recordWarm(beat.sent);
+		this.deps.warm.recordAll(beat.sent);
 		if (isDirect && member.entry.zone === this.deps.members.self.zone && this.#zoneSent.length < MAX_ZONE_SENT * 2) {
 			this.#zoneSent.push(...beat.sent);
 		}
@@ -267,7 +275,7 @@
 			}
 		}
 
-		this.#recordWarm(part.sent);
+		this.deps.warm.recordAll(part.sent);
 		const peer = zonePeer(zone);
 		if (zone !== members.self.zone) {
 			load.recordPeer(peer, part.loads, nowMs);
@@ -292,12 +300,6 @@
 		}
 	}
 
-	#recordWarm(sent: readonly number[]): void {
-		for (let index = 0; index + 1 < sent.length; index += 2) {
-			this.deps.warm.record(sent[index]!, sent[index + 1]!);
-		}
-	}
-
 	/** Takes the peer's word for how fresh our own knowledge is, or asks it for what we lack. */
 	#compare(member: Member, {operations, workers}: Beat): void {
 		const {state} = this.deps;
@@ -313,13 +315,8 @@
 	/** Tells hosts that hear from this one only how fresh its knowledge is now. */
 	#tellDependants(): void {
 		const dependants = this.#relays.dependants(this.deps.clock.monotonic());
-		if (dependants.length === 0) {
-			return;
-		}
-
-		const bytes = encodeBeat(this.#compose());
-		for (const member of dependants) {
-			this.#sendTo(member, bytes);
+		if (dependants.length > 0) {
+			this.#sendAll(dependants, this.#compose());
 		}
 	}
 
--- a/packages/entry/src/peer/relays.ts
+++ b/packages/entry/src/peer/relays.ts
@@ -28,27 +28,14 @@
 
 	/** Whether this host is a relay of its zone. */
 	isRelay(nowMs: number): boolean {
-		const {hash, self} = this.members;
-		let before = 0;
-		for (const member of this.members.ofZone(self.zone)) {
-			if (member.hash < hash && isSpeaking(member, nowMs)) {
-				before++;
-			}
-		}
-
-		return before < RELAYS;
+		return this.#rank(nowMs) < RELAYS;
 	}
 
 	/** Relays of an availability zone besides this host, in order; hosts of which nothing is heard are left out. */
 	of(zone: string, nowMs: number): Member[] {
 		const living = this.members.ofZone(zone).filter(member => isSpeaking(member, nowMs));
-		const {self, hash} = this.members;
-		if (zone !== self.zone) {
-			return living.slice(0, RELAYS);
-		}
-
-		const before = living.filter(member => member.hash < hash).length;
-		return living.slice(0, before < RELAYS ? RELAYS - 1 : RELAYS);
+		const isOneOfThem = zone === this.members.self.zone && this.isRelay(nowMs);
+		return living.slice(0, isOneOfThem ? RELAYS - 1 : RELAYS);
 	}
 
 	/**
@@ -74,24 +61,32 @@
 
 	/** Hosts of this zone to which this relay passes on what it hears directly from a relay of another zone. */
 	listeners(origin: Member, nowMs: number): Member[] {
-		const {self} = this.members;
-		const own = this.of(self.zone, nowMs);
-		if (!this.isRelay(nowMs)) {
+		const rank = this.#rank(nowMs);
+		if (rank >= RELAYS) {
 			return [];
 		}
 
 		// Each of the two passes on one of the other zone's two, so that nobody gets all of it twice.
-		const index = own.filter(({hash}) => hash < this.members.hash).length;
 		const origins = this.of(origin.entry.zone, nowMs);
-		const isMine = own.length === 0 || origins.length < RELAYS || origins[index]?.hash === origin.hash;
-		return isMine ? this.members.ofZone(self.zone).filter(member => isSpeaking(member, nowMs) && !own.includes(member)) : [];
+		const isMine = origins.length < RELAYS || origins[rank]?.hash === origin.hash || this.of(this.members.self.zone, nowMs).length === 0;
+		return isMine ? this.dependants(nowMs) : [];
 	}
 
 	/** Hosts of this zone that hear of other zones by relays only. */
 	dependants(nowMs: number): Member[] {
-		const {self} = this.members;
-		const own = this.of(self.zone, nowMs);
-		return this.isRelay(nowMs) ? this.members.ofZone(self.zone).filter(member => isSpeaking(member, nowMs) && !own.includes(member)) : [];
+		if (!this.isRelay(nowMs)) {
+			return [];
+		}
+
+		const {zone} = this.members.self;
+		const own = this.of(zone, nowMs);
+		return this.members.ofZone(zone).filter(member => isSpeaking(member, nowMs) && !own.includes(member));
+	}
+
+	/** Number of hosts of this zone that are heard and come before this one. */
+	#rank(nowMs: number): number {
+		const {hash, self} = this.members;
+		return this.members.ofZone(self.zone).filter(member => member.hash < hash && isSpeaking(member, nowMs)).length;
 	}
 
 	#speakersOf(zone: string, nowMs: number, search: number | undefined): Member[] {
--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -1,9 +1,8 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {Readable} from 'node:stream';
-import {hashText} from '@apricotwood/routing';
 import {
-	AttemptSign, PlacementReason, RequestKind, Verdict, Warmth, type Placement, type PlacementRequest, type Route, type Waiter, type Worker,
+	AttemptSign, PlacementReason, RequestKind, Verdict, Warmth, hashObject, returnAfterMs, waitUntilMs, type Placement, type PlacementRequest, type Route, type Waiter, type Worker,
 } from '@apricotwood/steering';
 import type {CallerSigns} from '../dialect.js';
 import {resetSocket} from '../socket.js';
@@ -23,11 +22,6 @@
 const LAST_WORD_MS = 120;
 /** Shortest time that is worth sending to a worker, ms. */
 const MIN_USEFUL_MS = 20;
-/** Part of the time left that a caller waits before it comes back, as callers do at most. */
-const MAX_RETURN_PART = 1 / 3;
-const RETURN_SPREAD = 0.5;
-/** Part of a request's time that it may wait for room. */
-const MAX_WAIT_PART = 0.35;
 /** Return of a caller whose request a worker with room would not take, ms. */
 const SHED_RETURN_MS = 50;
 const FIRST_ERROR_STATUS = 500;
@@ -78,10 +72,10 @@
 		const goneMs = signs.waitsMs === undefined ? 0 : patience.spent(route.name, signs.waitsMs);
 		this.#isReturning = goneMs > 0;
 		this.#targetAtMs = this.#startMs + route.targetMs - goneMs;
-		this.#waitUntilMs = this.#startMs + ((this.#endAtMs - this.#startMs) * MAX_WAIT_PART);
+		this.#waitUntilMs = waitUntilMs(this.#startMs, this.#endAtMs);
 		this.#salt = Math.floor(random.next() * (2 ** 32));
 		this.#service = split.choose(route, signs.object, random.next());
-		this.#object = route.hasAffinity && signs.object !== undefined ? hashText(signs.object, hashText(this.#service)) : undefined;
+		this.#object = route.hasAffinity && signs.object !== undefined ? hashObject(this.#service, signs.object) : undefined;
 	}
 
 	/** Runs to the end of the request; never throws. */
@@ -416,11 +410,9 @@
 		return notRun(REJECTIONS[reason] ?? Code.NoWorker, message, this.#returnAfterMs(roomInMs));
 	}
 
-	/** Spreads those that come back over the time in which room is expected. */
 	#returnAfterMs(roomInMs: number): number {
-		const spreadMs = roomInMs * (1 + (RETURN_SPREAD * this.parts.random.next()));
 		const leftMs = (this.signs.waitsMs ?? this.route.timeoutMs) - (this.parts.clock.monotonic() - this.#startMs);
-		return Math.max(20, Math.min(spreadMs, leftMs * MAX_RETURN_PART));
+		return returnAfterMs(roomInMs, leftMs, this.parts.random);
 	}
 
 	#callerLeft(): void {
--- a/packages/experiment/src/host.ts
+++ b/packages/experiment/src/host.ts
@@ -1,7 +1,7 @@
 import type {Clock, Random} from '@apricotwood/clock';
 import {hashText} from '@apricotwood/routing';
 import {
-	ColdLimit, Distances, Fleet, LoadView, Placer, RequestKind, ServiceTimes, Verdict, WarmObjects, Warmth, WorkerJudge, WorkerState, type Placement, type PlacerOptions, type Route,
+	ColdLimit, Distances, Fleet, LoadView, Placer, RequestKind, ServiceTimes, Verdict, WarmObjects, WorkerJudge, WorkerState, hashObject, waitUntilMs, type Placement, type PlacerOptions, type Route,
 } from '@apricotwood/steering';
 import type {LoadPattern} from './pattern.js';
 import type {ModelWorker} from './worker.js';
@@ -33,7 +33,6 @@
 };
 
 const ASK_MS = 25;
-const MAX_WAIT_PART = 0.35;
 
 /** One zone's entry host with the product's own decisions. */
 export class ModelHost {
@@ -90,7 +89,7 @@
 		const nowMs = this.clock.monotonic();
 		const {route, service, object, targetAtMs, endAtMs, isReturning} = one;
 		const placement = this.#placer.place({
-			route, service, object: hashText(object, hashText(service)), salt: Math.floor(this.random.next() * (2 ** 32)), avoid: new Set(), targetAtMs, endAtMs, isReturning, waitUntilMs: startMs + ((endAtMs - startMs) * MAX_WAIT_PART),
+			route, service, object: hashObject(service, object), salt: Math.floor(this.random.next() * (2 ** 32)), avoid: new Set(), targetAtMs, endAtMs, isReturning, waitUntilMs: waitUntilMs(startMs, endAtMs),
 		}, nowMs);
 		const waitedMs = nowMs - startMs;
 		if (placement.verdict === Verdict.Wait) {
@@ -108,7 +107,7 @@
 
 	#send({route, times, service, object}: ModelTry, {worker, warmth, distance, waitMs}: Placement, onDone: (wasWarm: boolean) => void): void {
 		const {entry, hash, region} = worker!;
-		const objectHash = hashText(object, hashText(service));
+		const objectHash = hashObject(service, object);
 		const tripMs = this.#distances.to(region);
 		const sentMs = this.clock.monotonic();
 		this.load.begin(hash);
@@ -121,7 +120,7 @@
 						const nowMs = this.clock.monotonic();
 						this.load.end(hash);
 						const seenWarm = this.#times.record(route, service, hash, warmth, Math.max(1, nowMs - sentMs - tripMs), waitMs, nowMs);
-						if (seenWarm !== undefined && warmth !== Warmth.Sure) {
+						if (seenWarm !== undefined) {
 							this.warm.learn(service, distance, seenWarm);
 						}
 
--- a/packages/experiment/src/index.ts
+++ b/packages/experiment/src/index.ts
@@ -1,5 +1,5 @@
 export {parsePattern, type LoadPattern} from './pattern.js';
-export {recordPattern, type LogLine, type RecordOptions} from './record.js';
+export {recordPattern, type RecordOptions} from './record.js';
 export {renderReport, type NamedResult} from './report.js';
 export {
 	Experiment, type ExperimentResult, type Policy, type Second, type Tally,
--- a/packages/experiment/src/record.ts
+++ b/packages/experiment/src/record.ts
@@ -1,12 +1,6 @@
+import type {LogLine} from '@apricotwood/telemetry';
 import type {LoadPattern} from './pattern.js';
 
-/** One line of a host's log, as far as a pattern needs it. */
-export type LogLine = {
-	readonly at: number;
-	readonly self: string;
-	readonly event: string;
-} & Readonly<Record<string, unknown>>;
-
 export type RecordOptions = {
 	/** Slots of a worker, by service; the logs do not tell them. */
 	readonly slots: ReadonlyMap<string, number>;
@@ -35,10 +29,10 @@
 	const targets = findTargets(requests);
 	const beliefs = sorted.filter(({event}) => event === 'beliefs') as Beliefs[];
 	const routes = [...targets].map(([key, targetMs]) => {
-		const [name, service] = key.split(' ') as [string, string];
+		const [, service] = key.split(' ') as [string, string];
 		const [warmMs, coldMs] = latest(beliefs, ({times}) => times?.[key]) ?? DEFAULT_TIMES;
 		return {
-			name: key, service, targetMs, timeoutMs: targetMs * TIMEOUT_FACTOR, priority: 1, warmMs, coldMs, route: name,
+			name: key, service, targetMs, timeoutMs: targetMs * TIMEOUT_FACTOR, priority: 1, warmMs, coldMs,
 		};
 	});
 	const index = new Map(routes.map(({name}, position) => [name, position]));
@@ -55,7 +49,7 @@
 		regions: Object.fromEntries(zones.map(zone => [zone, regionOf(zone)])),
 		roundTripMs: options.roundTripMs,
 		services: findServices(sorted, beliefs, options),
-		routes: routes.map(({route: _route, ...rest}) => rest),
+		routes,
 		arrivals: arrivals.toSorted((a, b) => a[0] - b[0]),
 	};
 }
--- a/packages/experiment/src/run.ts
+++ b/packages/experiment/src/run.ts
@@ -1,5 +1,5 @@
 import {FakeClock, type Random} from '@apricotwood/clock';
-import type {PlacerOptions} from '@apricotwood/steering';
+import {returnAfterMs, type PlacerOptions} from '@apricotwood/steering';
 import {
 	ModelHost, TryEnd, toRoute, type ModelTry, type TryResult,
 } from './host.js';
@@ -33,6 +33,7 @@
 export type ExperimentResult = {
 	/** By route. */
 	readonly routes: ReadonlyMap<string, Tally>;
+	readonly total: Tally;
 	/** By service and region, then by second. */
 	readonly seconds: ReadonlyMap<string, Second[]>;
 	/** Value of the answers as a part of what was asked; a late one counts `LATE_VALUE`. */
@@ -43,8 +44,6 @@
 const EXCHANGE_MS = 200;
 const SAMPLE_MS = 100;
 const MS_PER_SECOND = 1000;
-/** Part of its time after which a rejected caller comes back at the latest. */
-const MAX_RETURN_PART = 1 / 3;
 
 /** Replays a pattern once. The same random numbers give the same result. */
 export class Experiment {
@@ -64,9 +63,7 @@
 
 		this.#hosts = Object.keys(pattern.regions).map(zone => new ModelHost(zone, pattern, policy, this.#workers, this.#clock, random));
 		for (const {name} of pattern.routes) {
-			this.#routes.set(name, {
-				asked: 0, inTime: 0, late: 0, lost: 0, warm: 0, waitedMs: 0,
-			});
+			this.#routes.set(name, newTally());
 		}
 	}
 
@@ -77,15 +74,17 @@
 		this.#sample(endMs);
 		this.#arrive();
 		this.#clock.advance(endMs + 1);
-		let asked = 0;
-		let value = 0;
+		const total = newTally();
 		for (const tally of this.#routes.values()) {
 			tally.lost = tally.asked - tally.inTime - tally.late;
-			asked += tally.asked;
-			value += tally.inTime + (LATE_VALUE * tally.late);
+			for (const key of Object.keys(total) as Array<keyof Tally>) {
+				total[key] += tally[key];
+			}
 		}
 
-		return {routes: this.#routes, seconds: this.#seconds, value: value / Math.max(1, asked)};
+		return {
+			routes: this.#routes, total, seconds: this.#seconds, value: (total.inTime + (LATE_VALUE * total.late)) / Math.max(1, total.asked),
+		};
 	}
 
 	/** One arrival after the other, so that few timers are pending. */
@@ -116,8 +115,7 @@
 			this.#count(one, host, result);
 			const leftMs = one.endAtMs - this.#clock.monotonic();
 			if (result.end === TryEnd.Rejected && !one.isReturning && leftMs > 0) {
-				const backInMs = Math.min(result.roomInMs * (1 + (0.5 * this.random.next())), leftMs * MAX_RETURN_PART);
-				this.#clock.after(backInMs, () => {
+				this.#clock.after(returnAfterMs(result.roomInMs, leftMs, this.random), () => {
 					this.#try({...one, isReturning: true}, host);
 				});
 			}
@@ -170,9 +168,7 @@
 			for (const other of this.#hosts) {
 				if (other !== host) {
 					other.load.recordPeer(host.zone, counts, nowMs);
-					for (let index = 0; index + 1 < host.sent.length; index += 2) {
-						other.warm.record(host.sent[index]!, host.sent[index + 1]!);
-					}
+					other.warm.recordAll(host.sent);
 				}
 			}
 
@@ -209,3 +205,9 @@
 		}
 	}
 }
+
+function newTally(): Tally {
+	return {
+		asked: 0, inTime: 0, late: 0, lost: 0, warm: 0, waitedMs: 0,
+	};
+}
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -6,7 +6,7 @@
 export {
 	Fleet, WorkerState, type Worker, type WorkerEntry,
 } from './fleet.js';
-export {WarmObjects, Warmth} from './warmth.js';
+export {WarmObjects, Warmth, hashObject} from './warmth.js';
 export {LoadView} from './load.js';
 export {ColdLimit} from './cold.js';
 export {Distances} from './distances.js';
@@ -16,4 +16,6 @@
 export {
 	Placer, PlacementReason, Verdict, type Placement, type PlacementRequest, type PlacerOptions, type PlacerParts,
 } from './placer.js';
-export {WaitingList, type Waiter} from './waiting.js';
+export {
+	WaitingList, returnAfterMs, waitUntilMs, type Waiter,
+} from './waiting.js';
--- a/packages/steering/src/waiting.ts
+++ b/packages/steering/src/waiting.ts
@@ -1,3 +1,27 @@
+import type {Random} from '@apricotwood/clock';
+
+/** Part of a request's time that it may wait for room. */
+const MAX_WAIT_PART = 0.35;
+/** Part of the time left that a caller waits before it comes back, as callers do at most. */
+const MAX_RETURN_PART = 1 / 3;
+const RETURN_SPREAD = 0.5;
+const MIN_RETURN_MS = 20;
+
+/** Instant until which a request may wait for room. */
+export function waitUntilMs(startMs: number, endAtMs: number): number {
+	return startMs + ((endAtMs - startMs) * MAX_WAIT_PART);
+}
+
+/**
+ * When a rejected caller should come back, ms from now: spread over the time in
+ * which room is expected. Answers a burst whose callers would all return at once.
+ * @param leftMs time that the caller still waits.
+ */
+export function returnAfterMs(roomInMs: number, leftMs: number, random: Random): number {
+	const spreadMs = roomInMs * (1 + (RETURN_SPREAD * random.next()));
+	return Math.max(MIN_RETURN_MS, Math.min(spreadMs, leftMs * MAX_RETURN_PART));
+}
+
 /** A request that waits for room. */
 export type Waiter<T> = {
 	readonly item: T;
--- a/packages/steering/src/warmth.ts
+++ b/packages/steering/src/warmth.ts
@@ -1,3 +1,5 @@
+import {hashText} from '@apricotwood/routing';
+
 /** First guess of the objects that a worker remembers. */
 const FIRST_CAPACITY = 24;
 const MIN_CAPACITY = 8;
@@ -17,6 +19,11 @@
 	Cold = 'cold',
 }
 
+/** Hash of an object; the same object of another service is another one. */
+export function hashObject(service: string, object: string): number {
+	return hashText(object, hashText(service));
+}
+
 /** Objects that one worker has handled, the latest last. */
 class RecentObjects {
 	readonly #objects = new Set<number>();
@@ -83,6 +90,13 @@
 		recent.touch(object);
 	}
 
+	/** @param sent worker and object hashes, in turn. */
+	recordAll(sent: readonly number[]): void {
+		for (let index = 0; index + 1 < sent.length; index += 2) {
+			this.record(sent[index]!, sent[index + 1]!);
+		}
+	}
+
 	/** Number of objects that the worker is known to have handled. */
 	known(worker: number): number {
 		return this.#byWorker.get(worker)?.size ?? 0;
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,5 +1,5 @@
 export {
-	LogFormat, LogLevel, SILENT_LOG, createLog, type Log, type LogFields, type LogOptions,
+	LogFormat, LogLevel, SILENT_LOG, createLog, type Log, type LogFields, type LogLine, type LogOptions,
 } from './log.js';
 export {BatchSink, MemorySink, type LineSink} from './sink.js';
 export {Metrics} from './metrics.js';
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -29,6 +29,15 @@
 /** The fields of one line; `event` names what happened and is listed in the operators' pages. */
 export type LogFields = {readonly event: string} & Readonly<Record<string, unknown>>;
 
+/** One line of a host's log in JSON form, as it is read again. */
+export type LogLine = {
+	/** Unix ms. */
+	readonly at: number;
+	/** Id of the host. */
+	readonly self: string;
+	readonly event: string;
+} & Readonly<Record<string, unknown>>;
+
 /** Structured log. Each call writes one line. */
 export interface Log {
 	debug(fields: LogFields): void;
