refactor(soak): names of the users' platform stand in its folder only; what the stand-ins know is asked of them

The store's tables, the questions of callers and the shape of a route stood in the soak and the tests as literals; the stand-ins have a method for each, and take the tables' names from the adapter. What a worker answers and signs with is told by the worker's stand-in, and was written again by the judge. Listening on a free port was written five times, waiting again beside node:timers/promises. Dropped, as nothing read them: a host's time of its stop signal, whether it runs, whether a call's connection was kept.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -3,11 +3,14 @@
 	Agent, request, type ClientRequest, type IncomingMessage,
 } from 'node:http';
 import type {Socket} from 'node:net';
+import {setTimeout as pause} from 'node:timers/promises';
 import type {Random} from '@apricotwood/clock';
-import {callerHeaders, signatureOf} from '@apricotwood/platform/standin';
-import {CALL_TIMEOUT_MS, expectedAnswer} from './promises.js';
+import {
+	answerTo, callerHeaders, findHosts, signatureOf,
+} from '@apricotwood/platform/standin';
+import {CALL_TIMEOUT_MS} from './promises.js';
 import {CallEnd, CallKind, type Call} from './records.js';
-import {pause, type World} from './world.js';
+import {REGIONS, type World} from './world.js';
 
 /** Callers at work at the same time, and the pause of each between two calls, ms. */
 const CALLERS = 24;
@@ -57,9 +60,9 @@
 
 	async #findHost(): Promise<string | undefined> {
 		const {hosts} = this.world;
-		const asked = hosts[Math.floor(this.random.next() * hosts.length)]!;
+		const {ip, zone} = hosts[Math.floor(this.random.next() * hosts.length)]!.place;
 		try {
-			const addresses = await this.world.findHosts(asked);
+			const addresses = await findHosts(ip, zone, REGIONS[zone]!);
 			return addresses[Math.floor(this.random.next() * addresses.length)];
 		} catch {
 			return undefined;
@@ -68,30 +71,27 @@
 
 	/** Sends calls on one connection until that ends, or is asked to end. */
 	async #useConnection(address: string): Promise<void> {
-		const link = this.world.linkOf(address);
+		const link = this.world.callerLinks.get(address);
 		const host = this.world.hosts.find(one => one.address === address);
 		if (!link || !host) {
 			return;
 		}
 
 		const agent = new Agent({keepAlive: true, maxSockets: 1});
-		let isKept = false;
 		while (!this.#stop.signal.aborted) {
-			const call = this.#draw(host.place.id, isKept);
+			const call = this.#draw(host.place.id);
 			this.world.records.calls.push(call);
 			const isOpen = await this.#send(call, link.address, agent); // eslint-disable-line no-await-in-loop
 			await pause(PAUSE_MS * 2 * this.random.next()); // eslint-disable-line no-await-in-loop
 			if (!isOpen) {
 				break;
 			}
-
-			isKept = true;
 		}
 
 		agent.destroy();
 	}
 
-	#draw(host: string, isOnKeptConnection: boolean): Call {
+	#draw(host: string): Call {
 		const {random, world} = this;
 		const pick = <T>(list: readonly T[]): T => list[Math.floor(random.next() * list.length)]!;
 		const kind = pick([CallKind.Read, CallKind.Read, CallKind.Book, CallKind.Load]);
@@ -107,7 +107,6 @@
 			bytes,
 			digest: createHash('md5').update(bodyOf(bytes)).digest('hex'),
 			sentAtMs: Date.now(),
-			isOnKeptConnection,
 			end: CallEnd.Hung,
 			endAtMs: 0,
 			status: 0,
@@ -162,7 +161,7 @@
 				finish(CallEnd.Cut, false);
 			});
 			res.on('close', () => {
-				call.isExpected = body === expectedAnswer(call);
+				call.isExpected = body === answerTo(call.method, call.url, call.bytes);
 				call.answer = body.slice(0, KEPT_ANSWER);
 				finish(res.complete ? CallEnd.Answered : CallEnd.Cut, res.complete && res.headers.connection !== 'close');
 			});
--- a/packages/soak/src/host.ts
+++ b/packages/soak/src/host.ts
@@ -4,7 +4,9 @@
 } from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
-import {callerAddress, readyAddress, usersSettings, type StandinHost} from '@apricotwood/platform/standin';
+import {
+	callerAddress, isReady, usersSettings, type StandinHost,
+} from '@apricotwood/platform/standin';
 
 /** Processes that end with this one, however it ends. */
 const children = new Set<ChildProcess>();
@@ -39,8 +41,6 @@
 export class HostProcess {
 	#child: ChildProcess | undefined;
 	#isWanted = false;
-	/** Unix ms of the latest stop signal; `undefined` while none is under way. */
-	stoppingSinceMs: number | undefined;
 
 	constructor(
 		readonly place: StandinHost,
@@ -55,25 +55,17 @@
 		return callerAddress(this.place.ip);
 	}
 
-	/** Process id; `undefined` while it does not run. */
-	get pid(): number | undefined {
-		return this.#child?.pid;
-	}
-
 	/** What the system says of the process: running, sleeping, stopped; for the log of a host that does not answer. */
 	describe(): string {
+		const pid = this.#child?.pid;
 		try {
-			const fields = readFileSync(`/proc/${this.pid}/stat`, 'utf8').split(' ');
-			return `process ${this.pid} in state ${fields[2]}, ${fields[13]} ticks of its own, ${fields[14]} in the kernel`;
+			const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(' ');
+			return `process ${pid} in state ${fields[2]}, ${fields[13]} ticks of its own, ${fields[14]} in the kernel`;
 		} catch {
-			return `process ${this.pid ?? 'none'}, state unknown`;
+			return `process ${pid ?? 'none'}, state unknown`;
 		}
 	}
 
-	get isRunning(): boolean {
-		return this.#child !== undefined;
-	}
-
 	start(): void {
 		if (this.#child) {
 			return;
@@ -91,7 +83,6 @@
 		this.#child = child;
 		killAtExit(child);
 		this.#isWanted = false;
-		this.stoppingSinceMs = undefined;
 		child.on('exit', (code, signal) => {
 			log.end();
 			if (this.#child === child) {
@@ -110,10 +101,6 @@
 			this.#isWanted = true;
 		}
 
-		if (name === 'SIGTERM' && this.#child) {
-			this.stoppingSinceMs = Date.now();
-		}
-
 		this.#child?.kill(name);
 	}
 
@@ -135,11 +122,6 @@
 	}
 
 	async isReady(): Promise<boolean> {
-		try {
-			const res = await fetch(`http://${readyAddress(this.place.ip)}/v1/readiness`, {signal: AbortSignal.timeout(500)});
-			return res.status === 200;
-		} catch {
-			return false;
-		}
+		return isReady(this.place.ip);
 	}
 }
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -3,7 +3,7 @@
 export {FaultKind, drawPlan, type Fault} from './plan.js';
 export {Link, LinkState} from './proxy.js';
 export {
-	ALWAYS, TIMED, expectedAnswer, judge, type Breach,
+	ALWAYS, TIMED, judge, type Breach,
 } from './promises.js';
 export {
 	CallEnd, CallKind, newRecords, type Call, type Records,
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -1,6 +1,7 @@
+import {signatureBy} from '@apricotwood/platform/standin';
 import {FaultKind} from './plan.js';
 import {
-	CallEnd, CallKind, type Call, type Disturbance, type Notice, type Records,
+	CallEnd, CallKind, type Disturbance, type Notice, type Records,
 } from './records.js';
 
 /** A promise that was broken, with what shows it. */
@@ -78,19 +79,13 @@
 function judgeMixed({calls, runs}: Records): Breach[] {
 	const workers = new Map<string, Set<string>>();
 	for (const {id, worker} of runs) {
-		workers.set(id, (workers.get(id) ?? new Set()).add(`sig-${worker}`));
+		workers.set(id, (workers.get(id) ?? new Set()).add(signatureBy(worker)));
 	}
 
 	return calls.filter(call => call.end === CallEnd.Answered && call.status < 300 && !(workers.get(call.id)?.has(call.signature ?? '') && call.isExpected))
 		.map(({id, signature, answer}) => ({promise: 'mixed', subject: id, message: `success of ${signature} with a body that begins with ${answer.slice(0, 60)}`}));
 }
 
-/** What a stand-in worker answers to a call. */
-export function expectedAnswer({method, url, bytes}: Pick<Call, 'method' | 'url' | 'bytes'>): string {
-	const filler = Number(new URL(url, 'http://host').searchParams.get('filler') ?? 0);
-	return `${method} ${url} ${bytes}${'x'.repeat(filler)}`;
-}
-
 function judgeDenied({calls, notices}: Records): Breach[] {
 	const late = new Set(notices.filter(({what}) => what === 'route-added').map(({subject}) => subject));
 	return calls.filter(({end, status, url}) => end === CallEnd.Answered && status >= 300 && status < 500 && !PROMISING.has(status) && !late.has(prefixOf(url)))
--- a/packages/soak/src/proxy.ts
+++ b/packages/soak/src/proxy.ts
@@ -1,6 +1,9 @@
 import type {Buffer} from 'node:buffer';
-import {connect, createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {
+	connect, createServer, type Server, type Socket,
+} from 'node:net';
 import {resetSocket} from '@apricotwood/entry';
+import {addressOf, listen} from '@apricotwood/platform/standin';
 
 /** What a link does with what passes over it. */
 export enum LinkState {
@@ -36,7 +39,7 @@
 	constructor(private readonly target: () => string) {}
 
 	get address(): string {
-		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+		return addressOf(this.#server);
 	}
 
 	setState(state: LinkState): void {
@@ -49,9 +52,7 @@
 	}
 
 	async start(): Promise<this> {
-		await new Promise<void>(resolve => {
-			this.#server.listen(0, '127.0.0.1', resolve);
-		});
+		await listen(this.#server);
 		return this;
 	}
 
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -33,8 +33,6 @@
 	readonly bytes: number;
 	readonly digest: string;
 	readonly sentAtMs: number;
-	/** Whether the connection had carried a call before. */
-	readonly isOnKeptConnection: boolean;
 	end: CallEnd;
 	endAtMs: number;
 	status: number;
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -1,10 +1,11 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import type {Random} from '@apricotwood/clock';
 import {Callers} from './callers.js';
 import {drawPlan, type Fault, type FaultKind} from './plan.js';
 import {ALWAYS, TIMED, judge, type Breach} from './promises.js';
 import type {Records} from './records.js';
 import {strike} from './strike.js';
-import {World, pause, type WorldOptions} from './world.js';
+import {World, type WorldOptions} from './world.js';
 
 export type SoakOptions = WorldOptions & {
 	/** How long faults are injected, ms. */
--- a/packages/soak/src/strike.ts
+++ b/packages/soak/src/strike.ts
@@ -1,15 +1,15 @@
+import {setTimeout as pause} from 'node:timers/promises';
 import {StoreMood, WorkerFault} from '@apricotwood/platform/standin';
 import type {HostProcess} from './host.js';
 import {FaultKind, type Fault} from './plan.js';
 import {STORE} from './promises.js';
 import {LinkState, type Link} from './proxy.js';
-import {pause, type WorkerSeat, type World} from './world.js';
+import {ZONES, type WorkerSeat, type World} from './world.js';
 
 const LINK_STATES = [LinkState.Delayed, LinkState.Reset, LinkState.Silent, LinkState.OneWay] as const;
 const WORKER_FAULTS = [
 	WorkerFault.Shed, WorkerFault.Reset, WorkerFault.Lost, WorkerFault.Unframed, WorkerFault.Cut, WorkerFault.Extra, WorkerFault.Slow, WorkerFault.Fail, WorkerFault.UnframedReset,
 ] as const;
-const ZONES = ['a1', 'a2', 'b1'] as const;
 
 function pick<T>(list: readonly T[], part: number): T {
 	return list[Math.floor(part * list.length)]!;
@@ -70,11 +70,11 @@
 		}
 
 		world.evacuated.add(zone);
-		world.store.put('op', `evacuate/${zone}`, {});
+		world.store.evacuate(zone);
 		const notice = world.notice('evacuated', zone);
 		await pause(fault.forMs);
 		notice.untilMs = Date.now();
-		world.store.drop('op', `evacuate/${zone}`);
+		world.store.restore(zone);
 		world.evacuated.delete(zone);
 	},
 };
--- a/packages/soak/src/world.ts
+++ b/packages/soak/src/world.ts
@@ -1,8 +1,9 @@
 import {createServer} from 'node:net';
 import path from 'node:path';
 import process from 'node:process';
+import {setTimeout as pause} from 'node:timers/promises';
 import {
-	StoreMood, UsersStore, UsersWorker, WorkerFault, callerAddress, directoryAddress, usersConfig,
+	StoreMood, UsersStore, UsersWorker, WorkerFault, callerAddress, usersConfig, usersRoute,
 } from '@apricotwood/platform/standin';
 import {HostProcess, STOP_MS} from './host.js';
 import type {FaultKind} from './plan.js';
@@ -17,8 +18,8 @@
 	readonly directory: string;
 };
 
-const ZONES = ['a1', 'a2', 'b1'] as const;
-const REGIONS = {a1: 'a', a2: 'a', b1: 'b'};
+export const ZONES = ['a1', 'a2', 'b1'] as const;
+export const REGIONS: Readonly<Record<string, string>> = {a1: 'a', a2: 'a', b1: 'b'};
 const SERVICES = ['board', 'desk'] as const;
 const WORKERS_PER_SERVICE = 4;
 const WORK_MS = 25;
@@ -56,11 +57,11 @@
 	}
 
 	register(state: 'ready' | 'draining'): void {
-		this.store.put('servers', this.id, this.worker.describe(state, this.link.address, this.#born));
+		this.store.putWorker(this.id, this.worker.describe(state, this.link.address, this.#born));
 	}
 
 	unregister(): void {
-		this.store.drop('servers', this.id);
+		this.store.dropWorker(this.id);
 	}
 
 	/** A new life: what it remembered is gone, and hosts can tell. */
@@ -81,11 +82,12 @@
 	readonly store = new UsersStore();
 	readonly hosts: HostProcess[] = [];
 	readonly storeLinks = new Map<string, Link>();
+	/** Where callers connect to, for each address that hosts name. */
 	readonly callerLinks = new Map<string, Link>();
 	readonly seats: WorkerSeat[] = [];
 	readonly evacuated = new Set<string>();
 	#version = 1;
-	readonly #extraRoutes: unknown[][] = [];
+	readonly #extraRoutes: Array<readonly unknown[]> = [];
 
 	constructor(private readonly options: WorldOptions) {}
 
@@ -117,24 +119,12 @@
 		}
 	}
 
-	/** Where a caller connects to, for an address that the directory names. */
-	linkOf(address: string): Link | undefined {
-		return this.callerLinks.get(address);
-	}
-
-	/** Hosts that a running host names to callers. */
-	async findHosts(host: HostProcess): Promise<string[]> {
-		const url = `http://${directoryAddress(host.place.ip)}/v1/resolve?name=a.example&zone=${host.place.zone}&region=${REGIONS[host.place.zone as keyof typeof REGIONS]}`;
-		const res = await fetch(url, {signal: AbortSignal.timeout(500)});
-		return ((await res.json()) as {addresses: string[]}).addresses;
-	}
-
 	/** Adds a route, and says which prefix it has. */
 	addRoute(): string {
-		const prefix = `/new${this.#extraRoutes.length}/`;
-		this.#extraRoutes.push([`new${this.#extraRoutes.length}`, 'a.example', prefix, 'idempotent', '1500ms', '800ms', 1, 'desk', 2, true, [], null]);
+		const name = `new${this.#extraRoutes.length}`;
+		this.#extraRoutes.push(usersRoute(name, 'desk'));
 		this.#writeConfig();
-		return prefix;
+		return `/${name}/`;
 	}
 
 	disturb(kind: FaultKind, subject: string): Disturbance {
@@ -182,7 +172,7 @@
 		}
 
 		for (const zone of ZONES) {
-			this.store.drop('op', `evacuate/${zone}`);
+			this.store.restore(zone);
 		}
 
 		for (const host of this.hosts) {
@@ -240,7 +230,7 @@
 
 	#writeConfig(): void {
 		this.#version++;
-		this.store.put('op', 'config', usersConfig(this.#version, SERVICES, this.#extraRoutes));
+		this.store.putConfig(usersConfig(this.#version, SERVICES, this.#extraRoutes));
 	}
 }
 
@@ -266,9 +256,3 @@
 
 	throw new Error('no loopback network is free');
 }
-
-export async function pause(spanMs: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		setTimeout(resolve, spanMs);
-	});
-}
--- a/test/entry/exchange.test.ts
+++ b/test/entry/exchange.test.ts
@@ -9,6 +9,7 @@
 	Connection, Exchange, ExchangeEnd, resetSocket, type AnswerSink, type ExchangeRequest, type ExchangeResult,
 } from '@apricotwood/entry';
 import {PlatformDialect} from '@apricotwood/platform';
+import {addressOf, listen} from '@apricotwood/platform/standin';
 import {RawWorker} from '../fixtures/raw-worker.js';
 
 const SILENT_SINK: AnswerSink = {start() {}, write: () => true};
@@ -139,10 +140,8 @@
 	const server = createServer({pauseOnConnect: true}, socket => {
 		accepted.push(socket);
 	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const connection = new Connection(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+	await listen(server);
+	const connection = new Connection(addressOf(server));
 	const running = new Exchange(connection, {
 		method: 'POST', path: '/a/', headers: ['Host', 'a.example'], body: Buffer.alloc(16 * 1024 * 1024), requestId: 'r1',
 	}, new PlatformDialect(), SILENT_SINK);
@@ -235,9 +234,7 @@
 		const server = createServer(socket => {
 			socket.pause().on('error', () => {});
 		});
-		await new Promise<void>(resolve => {
-			server.listen(0, '127.0.0.1', resolve);
-		});
+		await listen(server);
 		const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
 		socket.on('error', () => {});
 		await new Promise(resolve => {
--- a/test/entry/whole-path.test.ts
+++ b/test/entry/whole-path.test.ts
@@ -20,7 +20,7 @@
 
 function setConfig(extraRoutes: ReadonlyArray<readonly unknown[]> = []): number {
 	version += 3;
-	store.put('op', 'config', usersConfig(version, ['board', 'other'], extraRoutes));
+	store.putConfig(usersConfig(version, ['board', 'other'], extraRoutes));
 	return version;
 }
 
@@ -34,7 +34,7 @@
 	setConfig();
 	for (const worker of workers) {
 		await worker.start();
-		store.put('servers', worker.id, worker.entry);
+		store.putWorker(worker.id, worker.entry);
 	}
 
 	door = await store.openDoor();
@@ -159,13 +159,13 @@
 }
 
 test('entries that cannot be used name no worker, and the others hold', async () => {
-	store.put('servers', 'bad-1', 'no json at all');
-	store.put('servers', 'bad-2', {addr: 7});
-	store.put('servers', 'bad-3', {...workers[0]!.entry, status: {state: 'dancing', sequence: 1}});
+	store.putWorker('bad-1', 'no json at all');
+	store.putWorker('bad-2', {addr: 7});
+	store.putWorker('bad-3', {...workers[0]!.entry, status: {state: 'dancing', sequence: 1}});
 	await eventually('all three are logged', () => hosts.some(({lines}) => lines.filter(({event}) => event === 'unreadable-row').length >= 3));
 	assert.equal(hosts[0]!.host.state.fleet.size, 3);
 	for (const id of ['bad-1', 'bad-2', 'bad-3']) {
-		store.drop('servers', id);
+		store.dropWorker(id);
 	}
 });
 
@@ -173,10 +173,10 @@
 	const [leaving] = workers;
 	for (const leave of [
 		() => {
-			store.put('servers', leaving!.id, {...leaving!.entry, status: {state: 'draining', sequence: 2, cold_remaining: '0ms'}});
+			store.putWorker(leaving!.id, leaving!.describe('draining'));
 		},
 		() => {
-			store.drop('servers', leaving!.id);
+			store.dropWorker(leaving!.id);
 		},
 	]) {
 		leave();
@@ -191,7 +191,7 @@
 		}
 
 		assert.equal(leaving!.ran.length, before);
-		store.put('servers', leaving!.id, leaving!.entry);
+		store.putWorker(leaving!.id, leaving!.entry);
 		await eventually('it is back', () => hosts.every(({host}) => {
 			const worker = host.state.fleet.get(leaving!.id);
 			return worker !== undefined && host.state.fleet.isOpen(worker);
@@ -200,7 +200,7 @@
 });
 
 test('an evacuated zone gets nothing until it is taken back', async () => {
-	store.put('op', 'evacuate/a1', {});
+	store.evacuate('a1');
 	await eventually('all hosts know', () => hosts.every(({host}) => host.state.fleet.evacuated.has('a1')));
 	const before = workers[0]!.ran.length;
 	for (let index = 0; index < 6; index++) {
@@ -208,7 +208,7 @@
 	}
 
 	assert.equal(workers[0]!.ran.length, before);
-	store.drop('op', 'evacuate/a1');
+	store.restore('a1');
 	await eventually('it is back', () => hosts.every(({host}) => host.state.fleet.evacuated.size === 0));
 });
 
@@ -225,13 +225,13 @@
 test('an invalid or older configuration is never put in force, and each finding is logged with its place', async () => {
 	const current = hosts[0]!.host.state.table!.version;
 	const invalid = usersConfig(current + 50, ['board', 'other'], [['bad', 'a.example', '/bad/', 'idempotent', '1500ms', '800ms', 1, 'nowhere', 2, true, [], null]]);
-	store.put('op', 'config', invalid);
+	store.putConfig(invalid);
 	await eventually('the finding is logged', () => hosts.some(({lines}) => lines.some(({event, message}) => event === 'unreadable-row' && String(message).includes('routes[3]: leads to nowhere'))));
-	store.put('op', 'config', usersConfig(1, ['other']));
-	store.put('op', 'evacuate/zz', {});
+	store.putConfig(usersConfig(1, ['other']));
+	store.evacuate('zz');
 	await eventually('later news has come', () => hosts.every(({host}) => host.state.fleet.evacuated.has('zz')));
 	assert.ok(hosts.every(({host}) => host.state.table!.version === current));
-	store.drop('op', 'evacuate/zz');
+	store.restore('zz');
 });
 
 test('requests go on while the store is down, and its lost history is made up for', async () => {
@@ -240,11 +240,11 @@
 	const {status} = await hosts[0]!.send('/read/x');
 	assert.equal(status, 200);
 	store.compact();
-	store.put('op', 'evacuate/b1', {});
+	store.evacuate('b1');
 	store.compact();
 	store.mood = StoreMood.Well;
 	await eventually('all hosts know', () => hosts.every(({host}) => host.state.fleet.evacuated.has('b1')));
-	store.drop('op', 'evacuate/b1');
+	store.restore('b1');
 });
 
 test('a host that starts while the store is down learns all from a seed', async () => {
@@ -315,7 +315,7 @@
 test('a request whose header does not come whole in time is told so, and not that it is bad (soak, seed 1002)', async () => {
 	const before = hosts[0]!.host.state.table!.config.limits;
 	version += 3;
-	store.put('op', 'config', {...usersConfig(version, ['board', 'other']), limits: {max_header_bytes: 4096, max_body_bytes: 3_000_000, header_timeout: '200ms', idle_timeout: '15000ms'}});
+	store.putConfig({...usersConfig(version, ['board', 'other']), limits: {max_header_bytes: 4096, max_body_bytes: 3_000_000, header_timeout: '200ms', idle_timeout: '15000ms'}});
 	await eventually('the limit is in force', () => hosts[0]!.host.state.table!.config.limits.headerTimeoutMs === 200);
 	const [ip, port] = hosts[0]!.settings.entry.self.callerAddress.split(':');
 	const {connect} = await import('node:net');
--- a/test/soak/links.test.ts
+++ b/test/soak/links.test.ts
@@ -1,9 +1,8 @@
 import assert from 'node:assert/strict';
-import {
-	connect, createServer, type AddressInfo, type Server, type Socket,
-} from 'node:net';
+import {connect, createServer, type Socket} from 'node:net';
 import {test} from 'node:test';
 import {SeededRandom} from '@apricotwood/clock';
+import {addressOf, listen} from '@apricotwood/platform/standin';
 import {
 	FaultKind, Link, LinkState, drawPlan,
 } from '@apricotwood/soak';
@@ -20,13 +19,6 @@
 	assert.equal(kinds.size, Object.values(FaultKind).length);
 });
 
-async function listen(server: Server): Promise<string> {
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
-}
-
 /** A link to a server that says everything again. */
 async function createEcho() {
 	const heard: string[] = [];
@@ -37,8 +29,8 @@
 			socket.write(chunk);
 		});
 	});
-	const address = await listen(server);
-	const link = await new Link(() => address).start();
+	await listen(server);
+	const link = await new Link(() => addressOf(server)).start();
 	const [ip, port] = link.address.split(':');
 	const socket = connect(Number(port), ip);
 	await new Promise(resolve => {
--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -14,7 +14,6 @@
 		bytes: 3,
 		digest: 'd',
 		sentAtMs: 10_000,
-		isOnKeptConnection: true,
 		end: CallEnd.Answered,
 		endAtMs: 10_100,
 		status: 200,
