--- a/test/adapter/decode.test.ts
+++ b/test/adapter/decode.test.ts
@@ -3,24 +3,12 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {test} from 'node:test';
-import {FindingsError} from '@apricotwood/findings';
 import {
 	PlatformDialect, decodeConfig, decodeWorker, loadSettings, readSpan,
 } from '@apricotwood/platform';
 import {RequestKind, RouteTable, WorkerState} from '@apricotwood/steering';
 import {usersConfig} from '@apricotwood/platform/standin';
-
-/** Places and messages of all findings. */
-function findingsOf(run: () => unknown): string[] {
-	try {
-		run();
-	} catch (error) {
-		assert.ok(error instanceof FindingsError, String(error));
-		return error.findings.map(({place, message}) => `${place}: ${message}`);
-	}
-
-	return [];
-}
+import {findingsOf} from '../fixtures/findings.js';
 
 test('config: a whole one is decoded into the product\'s words', () => {
 	const config = decodeConfig(usersConfig(12, ['board'], [['split', 'B.example', '/s/', 'upload', '2.5s', '300ms', 3, null, 1, false, ['a'], [{service: 'board', weight: 9}, {service: 'board', weight: 0}]]]));
--- a/test/agreement/patches.test.ts
+++ b/test/agreement/patches.test.ts
@@ -5,8 +5,8 @@
 	ChangeKind, EMPTY_AGREEMENT, Section, applyPatch, checkAgreement, diffAgreements, parsePatch, type Agreement, type Change,
 } from '@apricotwood/agreement';
 import {BlockTable, formatPrefix, parsePrefix} from '@apricotwood/blocks';
-import {FindingsError} from '@apricotwood/findings';
 import {HOOGHLY_OARS, FRASER_REACH, createAgreement} from '@apricotwood/standin';
+import {findingsOf} from '../fixtures/findings.js';
 
 const SEED = 20_261_204;
 
@@ -14,17 +14,6 @@
 	return createAgreement(HOOGHLY_OARS, (_name, index) => ({address: '127.0.0.1', port: 10_000 + index}));
 }
 
-function findingsOf(run: () => unknown): string[] {
-	try {
-		run();
-	} catch (error) {
-		assert.ok(error instanceof FindingsError, String(error));
-		return error.findings.map(({place, message}) => `${place}: ${message}`);
-	}
-
-	return [];
-}
-
 test('both deployments of the brief are agreements of its sizes', () => {
 	const sizes = [FRASER_REACH, HOOGHLY_OARS].map(deployment => {
 		const agreement = createAgreement(deployment, (_name, index) => ({address: '127.0.0.1', port: 10_000 + index}));
