feat(entry): crashes of workers are told from other ends of a connection, and logged with what ran there

A connection that ends without a response may have been reset by the worker or on its path, so no line told a crash from a lost answer, nor which request came again. The host now tries at once whether the worker refuses a new connection; then `worker-crash` names the worker and the fingerprints of the requests that ran there. No decision rests on it yet.

--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -21,6 +21,7 @@
 import type {HostEntry, SteeringSource} from '../source.js';
 import {SourcePoller} from '../state/source-poller.js';
 import {ReplicatedState} from '../state/replicated-state.js';
+import {CrashDetector} from '../upstream/crash-detector.js';
 import {HealthChecker} from '../upstream/health-checker.js';
 import {ConnectionPool, computeMaxIdleConnections} from '../upstream/pool.js';
 import {HostEvent, HostLifecycle, HostPhase} from './phase.js';
@@ -143,6 +144,7 @@
 			serviceTimes: this.#serviceTimes,
 			workerHealth: this.#workerHealth,
 			rateLimits: this.#rateLimits,
+			crashDetector: new CrashDetector({clock, log, onCrash() {}}),
 			roundTrips,
 			retryBudget: new RetryBudget(settings.retryBudget),
 			trafficSplitter: new TrafficSplitter(),
--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -10,6 +10,7 @@
 } from '../upstream/exchange.js';
 import type {Connection} from '../upstream/connection.js';
 import {BodyReadResult, streamBody, type RequestBody} from './body.js';
+import type {RequestFingerprint} from './fingerprint.js';
 import {copyRequestHeaders} from './headers.js';
 import type {SessionDeps} from './session-deps.js';
 
@@ -39,6 +40,7 @@
 	/** Hash of the requested object; `undefined` when the request has none. */
 	readonly object: number | undefined;
 	readonly metadata: RequestMetadata;
+	readonly fingerprint: RequestFingerprint;
 	/** Monotonic ms. */
 	readonly deadlineAtMs: number;
 };
@@ -178,8 +180,9 @@
 	}
 
 	/** Records the outcome of an attempt: the worker's health and reported load, service times, learned cache capacity, and mismatched responses in the pool. */
-	#recordOutcome({registration: {id, address, slots}, hash}: Worker, {cacheState, reuseDistance, waitMs}: Placement, result: ExchangeResult, record: AttemptRecord, networkMs: number): void {
-		const {workerHealth, serviceTimes, load, pool, clock, objectCaches, reportInterval} = this.deps;
+	#recordOutcome(worker: Worker, {cacheState, reuseDistance, waitMs}: Placement, result: ExchangeResult, record: AttemptRecord, networkMs: number): void {
+		const {registration: {id, address, slots}, hash} = worker;
+		const {workerHealth, serviceTimes, load, pool, clock, objectCaches, reportInterval, crashDetector} = this.deps;
 		const {route, service, object} = this.request;
 		const nowMs = clock.monotonic();
 		const reported = result.head?.metadata.load;
@@ -216,7 +219,15 @@
 				break;
 			}
 
-			case ExchangeEnd.Broken:
+			case ExchangeEnd.Broken: {
+				workerHealth.recordAttempt(hash, AttemptOutcome.Failed, nowMs);
+				if (!result.head) {
+					crashDetector.recordBrokenConnection(worker, this.request.fingerprint.value);
+				}
+
+				break;
+			}
+
 			case ExchangeEnd.Truncated: {
 				workerHealth.recordAttempt(hash, AttemptOutcome.Failed, nowMs);
 				break;
--- a/packages/entry/src/request/session-deps.ts
+++ b/packages/entry/src/request/session-deps.ts
@@ -4,6 +4,7 @@
 } from '@apricotwood/steering';
 import type {Log, Metrics} from '@apricotwood/telemetry';
 import type {Dialect} from '../dialect.js';
+import type {CrashDetector} from '../upstream/crash-detector.js';
 import type {ConnectionPool} from '../upstream/pool.js';
 import type {RetryDetector} from './retry-detector.js';
 
@@ -31,6 +32,7 @@
 	readonly serviceTimes: ServiceTimeEstimator;
 	readonly workerHealth: WorkerHealthTracker;
 	readonly rateLimits: RateLimitTracker;
+	readonly crashDetector: CrashDetector;
 	readonly roundTrips: RoundTripTimes;
 	readonly retryBudget: RetryBudget;
 	readonly trafficSplitter: TrafficSplitter;
--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -9,6 +9,7 @@
 import {
 	BodyReadResult, hasBody, readBody, type RequestBody,
 } from './body.js';
+import {RequestFingerprint} from './fingerprint.js';
 import {
 	RejectionCode, createNotRunRejection, createUnknownOutcomeRejection, type Rejection,
 } from './rejection.js';
@@ -159,7 +160,7 @@
 
 	#createSender(body: RequestBody | undefined): AttemptSender {
 		return new AttemptSender(this.deps, {
-			req: this.req, body, route: this.route, service: this.#service, object: this.#object, metadata: this.metadata, deadlineAtMs: this.#deadlineAtMs,
+			req: this.req, body, route: this.route, service: this.#service, object: this.#object, metadata: this.metadata, fingerprint: new RequestFingerprint(this.req, body), deadlineAtMs: this.#deadlineAtMs,
 		}, this.#writer);
 	}
 
