test(entry): a request that crashes workers, red

The worker of the stand-in ends when it begins to run a request of a given URL, and is back after a second.

--- /dev/null
+++ b/test/entry/crashing-requests.test.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import {setTimeout as pause} from 'node:timers/promises';
+import {FakeStore, FakeWorker, createOperatorConfig} from '@apricotwood/platform/standin';
+import {
+	TestEntryHost, freePorts, waitUntil, type HttpResponse,
+} from '../fixtures/test-entry-host.js';
+
+const HOST_IPS = ['127.0.0.31', '127.0.0.32', '127.0.0.33', '127.0.0.34'];
+const ZONES = ['a1', 'a2', 'b1'];
+/** Crashes after which the platform allows a request three more arrivals, counted from `CONTACT_MS` later. */
+const MAX_CRASHES = 3;
+const MAX_LATER_ARRIVALS = 3;
+const CONTACT_MS = 3000;
+/** Time between two arrivals of the crashing request at some host, ms. */
+const CRASH_GAP_MS = 60;
+/** Time between two other requests, ms. */
+const REQUEST_GAP_MS = 15;
+const CRASHING_PATH = '/read/crash?item=4';
+
+const store = new FakeStore();
+const workers = Array.from({length: 9}, (_, index) => new FakeWorker(`w${index}`, 'board', ZONES[index % ZONES.length]));
+const hosts: TestEntryHost[] = [];
+
+/** Sends a request to each host in turn until the time is over. */
+async function sendInTurn(durationMs: number, gapMs: number, createPath: (index: number) => string): Promise<HttpResponse[]> {
+	const replies: Array<Promise<HttpResponse>> = [];
+	const endMs = performance.now() + durationMs;
+	for (let index = 0; performance.now() < endMs; index++) {
+		replies.push(hosts[index % hosts.length]!.send(createPath(index), {headers: {'affinity-key': String(index % 30)}}));
+		await pause(gapMs);
+	}
+
+	return Promise.all(replies);
+}
+
+function listCrashes(): number[] {
+	return workers.flatMap(({crashes}) => crashes).toSorted((a, b) => a - b);
+}
+
+before(async () => {
+	await store.start();
+	store.putConfig(createOperatorConfig(3, ['board']));
+	for (const worker of workers) {
+		worker.processingMs = 20;
+		worker.crashingUrl = 'crash';
+		await worker.start();
+		store.putWorker(worker.id, worker.entry);
+	}
+
+	const ports = await freePorts(5);
+	for (const [index, ip] of HOST_IPS.entries()) {
+		hosts.push(await new TestEntryHost(ip, ports, store.address, {zone: ZONES[index % ZONES.length]}).start());
+	}
+
+	await waitUntil('all hosts are ready and know each other', () => hosts.every(({host}) => host.isReady
+		&& host.members.ready(performance.now()).length === hosts.length - 1 && host.state.fleet.size === workers.length));
+	await sendInTurn(300, REQUEST_GAP_MS, index => `/read/${index}`);
+});
+
+after(async () => {
+	await Promise.all(hosts.map(async host => host.stop()));
+	await Promise.all(workers.map(async worker => worker.stop()));
+	await store.stop();
+});
+
+// BUDGET: a request under which three workers had crashed was sent to workers 10 times more; 23 crashed in all.
+test('a request that crashes workers is not sent on once three have crashed, and the others are served', async () => {
+	const durationMs = CONTACT_MS + 2500;
+	const [crashing, others] = await Promise.all([
+		sendInTurn(durationMs, CRASH_GAP_MS, () => CRASHING_PATH),
+		sendInTurn(durationMs, REQUEST_GAP_MS, index => `/read/${index}?page=${index}`),
+	]);
+	const thirdCrashMs = listCrashes()[MAX_CRASHES - 1]!;
+	const laterArrivals = workers.flatMap(({executedRequests}) => executedRequests).filter(({url, atMs}) => url === CRASHING_PATH && atMs > thirdCrashMs + CONTACT_MS);
+	assert.ok(laterArrivals.length <= MAX_LATER_ARRIVALS, `${laterArrivals.length} arrivals later than ${CONTACT_MS} ms after the third crash; ${listCrashes().length} crashes`);
+	assert.ok(listCrashes().length <= MAX_CRASHES + MAX_LATER_ARRIVALS, `${listCrashes().length} crashes`);
+	assert.ok(crashing.every(({status}) => status === 502 || status === 503));
+	const last = crashing.at(-1)!;
+	assert.equal(last.status, 503);
+	assert.equal(last.headers['retry-after'], undefined);
+	const served = others.filter(({status}) => status === 200).length;
+	assert.ok(served >= others.length * 0.95, `${served} of ${others.length} other requests served`);
+});
