feat(soak): requests that crash workers, and a promise on them

Callers send such a request again and again while the fault lasts; each worker that runs it ends 60 ms later and is back after a second, at a link that refuses connections meanwhile (a new state of links). The promise `crash` is that of the issue: from 3 s after the third crash, at most three more arrivals from undisturbed hosts; no other request is refused as the cause. Violation has a file of its own, as promises.ts and rate-limits.ts imported each other.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -27,6 +27,8 @@
 const GIVE_UP_RATIO = 0.04;
 /** Ratio of the reads that go to a route added during the run. */
 const NEW_ROUTE_RATIO = 0.08;
+/** Ratio of the reads that are a request which crashes workers, while there is one. */
+const CRASHING_RATIO = 0.03;
 /** Number of characters of each response body that are kept in the records. */
 const KEPT_ANSWER_CHARS = 200;
 /** A call without a response for this much longer than its timeout counts as hung, ms. */
@@ -101,6 +103,7 @@
 		const {random, environment} = this;
 		const pick = <T>(list: readonly T[]): T => list[Math.floor(random.next() * list.length)]!;
 		const kind = pick([CallKind.Read, CallKind.Read, CallKind.Book, CallKind.Load]);
+		const crashing = environment.records.crashingRequests.find(({untilMs}) => untilMs === Number.POSITIVE_INFINITY);
 		const addedRoutes = environment.records.notices.filter(({what}) => what === 'route-added');
 		const prefix = kind === CallKind.Read && addedRoutes.length > 0 && random.next() < NEW_ROUTE_RATIO ? pick(addedRoutes).subject : `/${kind}/`;
 		const bytes = kind === CallKind.Read ? 0 : pick(BODY_BYTES);
@@ -109,7 +112,7 @@
 			kind,
 			host,
 			method: kind === CallKind.Read ? 'GET' : 'POST',
-			url: `${prefix}o${Math.floor(random.next() * OBJECT_COUNT)}?filler=${pick(FILLER_CHARS)}`,
+			url: kind === CallKind.Read && crashing && random.next() < CRASHING_RATIO ? crashing.url : `${prefix}o${Math.floor(random.next() * OBJECT_COUNT)}?filler=${pick(FILLER_CHARS)}`,
 			bytes,
 			digest: createHash('md5').update(createBody(bytes)).digest('hex'),
 			sentAtMs: Date.now(),
--- a/packages/soak/src/environment.ts
+++ b/packages/soak/src/environment.ts
@@ -6,10 +6,10 @@
 	FakeStoreMode, FakeStore, FakeWorker, WorkerFault, callerAddress, createOperatorConfig, createIdempotentRoute,
 } from '@apricotwood/platform/standin';
 import {HostProcess, STOP_TIMEOUT_MS} from './host.js';
-import type {FaultKind} from './plan.js';
+import {FaultKind} from './plan.js';
 import {Link, LinkState} from './proxy.js';
 import {
-	createRecords, type ChangeNotice, type Disturbance, type LimitPeriod, type SoakRecords,
+	createRecords, type ChangeNotice, type CrashingRequest, type Disturbance, type LimitPeriod, type SoakRecords,
 } from './records.js';
 
 /** Size and files of an environment. */
@@ -30,6 +30,10 @@
 const WORKERS_PER_SERVICE = 4;
 /** Processing time of a request at a worker, ms. */
 const WORKER_PROCESSING_MS = 25;
+/** Start of the paths of requests that crash workers. */
+const CRASHING_PATH = '/read/crash';
+/** Time for which a worker runs such a request before it crashes, ms. */
+const CRASH_DELAY_MS = 60;
 /** Time limit for all hosts to become ready after the start, ms. */
 const START_TIMEOUT_MS = 30_000;
 /** Time limit for all hosts to become ready after the last fault, ms. */
@@ -56,9 +60,23 @@
 	/** Last state written to the store; `undefined` while the worker has no entry. */
 	#state: 'ready' | 'draining' | undefined;
 
-	constructor(readonly id: string, readonly service: string, readonly zone: string, private readonly store: FakeStore) {
+	/** @param onCrash called when the worker crashes. @returns a function that is called when it is back. */
+	constructor(readonly id: string, readonly service: string, readonly zone: string, private readonly store: FakeStore, onCrash: () => () => void) {
 		this.worker = new FakeWorker(id, service, zone);
 		this.worker.processingMs = WORKER_PROCESSING_MS;
+		this.worker.crashingUrl = CRASHING_PATH;
+		this.worker.crashDelayMs = CRASH_DELAY_MS;
+		this.worker.onCrash = () => {
+			const onRestart = onCrash();
+			const endFault = this.link.startFault(LinkState.Refusing);
+			this.link.resetConnections();
+			return () => {
+				endFault();
+				this.registerNewIncarnation();
+				onRestart();
+			};
+		};
+
 		this.servingWorker = this.worker;
 		this.link = new Link(() => this.servingWorker.address);
 	}
@@ -124,7 +142,7 @@
 		for (const service of SERVICES) {
 			for (let index = 0; index < WORKERS_PER_SERVICE; index++) {
 				const zone = ZONES[index % ZONES.length]!;
-				this.workerEndpoints.push(new WorkerEndpoint(`${service}${index}-${zone}`, service, zone, this.store));
+				this.workerEndpoints.push(new WorkerEndpoint(`${service}${index}-${zone}`, service, zone, this.store, () => this.#recordCrash(`${service}${index}-${zone}`)));
 			}
 		}
 
@@ -187,6 +205,22 @@
 		return period;
 	}
 
+	/** Records a new request that crashes workers, which callers send from now on; the caller sets the end. */
+	recordCrashingRequest(): CrashingRequest {
+		const {crashingRequests} = this.records;
+		const request = {url: `${CRASHING_PATH}${crashingRequests.length}?filler=0`, fromMs: Date.now(), untilMs: Number.POSITIVE_INFINITY};
+		crashingRequests.push(request);
+		return request;
+	}
+
+	/** Records that a worker is down. @returns a function that ends it. */
+	#recordCrash(worker: string): () => void {
+		const disturbance = this.recordDisturbance(FaultKind.CrashingRequest, worker);
+		return () => {
+			disturbance.untilMs = Date.now();
+		};
+	}
+
 	/** Records a change in the store; the caller sets the time at which it is reverted. */
 	recordNotice(what: ChangeNotice['what'], subject: string): ChangeNotice {
 		const notice: ChangeNotice = {
--- a/packages/soak/src/fault-injection.ts
+++ b/packages/soak/src/fault-injection.ts
@@ -74,6 +74,11 @@
 	[FaultKind.WorkerGone]: async (environment, fault) => withdrawWorker(environment, fault, 'gone', endpoint => {
 		endpoint.unregister();
 	}),
+	async [FaultKind.CrashingRequest](environment, fault) {
+		const request = environment.recordCrashingRequest();
+		await pause(fault.forMs);
+		request.untilMs = Date.now();
+	},
 	[FaultKind.AddressReuse]: reuseAddress,
 	async [FaultKind.ConfigChange](environment) {
 		environment.recordNotice('route-added', environment.addRoute());
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -3,8 +3,9 @@
 export {FaultKind, generatePlan, type Fault} from './plan.js';
 export {Link, LinkState} from './proxy.js';
 export {
-	UNTIMED_PROMISES, TIMED_PROMISES, checkPromises, type Violation,
+	UNTIMED_PROMISES, TIMED_PROMISES, checkPromises,
 } from './promises.js';
+export type {Violation} from './violation.js';
 export {
 	CallEnd, CallKind, createRecords, type Call, type SoakRecords,
 } from './records.js';
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -1,17 +1,11 @@
 import {createSignature} from '@apricotwood/platform/standin';
+import {checkCrashes} from './crashes.js';
 import {FaultKind} from './plan.js';
 import {checkRateLimits} from './rate-limits.js';
 import {
 	CallEnd, CallKind, isUndisturbed, type ChangeNotice, type SoakRecords,
 } from './records.js';
-
-/** Violation of a promise, with its evidence. */
-export type Violation = {
-	readonly promise: string;
-	/** Id of the call or host, or `all`. */
-	readonly subject: string;
-	readonly message: string;
-};
+import type {Violation} from './violation.js';
 
 /** Time limit for hosts to stop using a worker that drains or has left, ms. */
 const DRAIN_LIMIT_MS = 2500;
@@ -44,7 +38,7 @@
 
 /** Promises with a time limit, by name. They are checked only where no fault had an influence. */
 export const TIMED_PROMISES = {
-	drain: checkDrain, gone: checkGone, limit: checkRateLimits, config: checkConfig, stop: checkStops, late: checkLate, recover: checkRecovery,
+	drain: checkDrain, gone: checkGone, limit: checkRateLimits, crash: checkCrashes, config: checkConfig, stop: checkStops, late: checkLate, recover: checkRecovery,
 } satisfies Readonly<Record<string, PromiseCheck>>;
 
 /** Checks some promises against the observations of a run. */
--- a/packages/soak/src/proxy.ts
+++ b/packages/soak/src/proxy.ts
@@ -13,6 +13,8 @@
 	Delayed = 'delayed',
 	/** Resets open and new connections. */
 	Reset = 'reset',
+	/** Refuses new connections; open ones are forwarded. */
+	Refusing = 'refusing',
 	/** Discards data in both directions; connections stay open. */
 	Silent = 'silent',
 	/** Forwards data to the target and discards data from it. */
@@ -37,6 +39,7 @@
 	});
 
 	#state = LinkState.Healthy;
+	#port = 0;
 	/** Faults that have not ended, in the order of their start; the last one determines the state. */
 	#faults: Array<{readonly state: LinkState}> = [];
 
@@ -45,7 +48,7 @@
 
 	/** `IP:port` that clients connect to. */
 	get address(): string {
-		return addressOf(this.#server);
+		return `127.0.0.1:${this.#port}`;
 	}
 
 	/** Starts a fault. Faults may overlap. @returns a function that ends it. */
@@ -67,8 +70,14 @@
 
 	setState(state: LinkState): void {
 		this.#state = state;
+		if (state === LinkState.Refusing) {
+			this.#server.close();
+		} else if (!this.#server.listening) {
+			this.#server.listen(this.#port, '127.0.0.1');
+		}
+
 		if (state === LinkState.Reset) {
-			this.#resetMatching(() => true);
+			this.resetConnections();
 		} else if (state === LinkState.Healthy) {
 			this.#resetMatching(({hasLostData}) => hasLostData);
 		}
@@ -76,11 +85,12 @@
 
 	async start(): Promise<this> {
 		await listen(this.#server);
+		this.#port = Number(addressOf(this.#server).split(':')[1]);
 		return this;
 	}
 
 	async stop(): Promise<void> {
-		this.#resetMatching(() => true);
+		this.resetConnections();
 		await new Promise<void>(resolve => {
 			this.#server.close(() => {
 				resolve();
@@ -88,6 +98,11 @@
 		});
 	}
 
+	/** Resets all open connections. */
+	resetConnections(): void {
+		this.#resetMatching(() => true);
+	}
+
 	#resetMatching(matches: (connection: ProxiedConnection) => boolean): void {
 		for (const connection of this.#connections) {
 			if (matches(connection)) {
--- a/packages/soak/src/rate-limits.ts
+++ b/packages/soak/src/rate-limits.ts
@@ -1,8 +1,8 @@
 import {createSignature} from '@apricotwood/platform/standin';
-import type {Violation} from './promises.js';
 import {
 	CallEnd, isUndisturbed, type Arrival, type LimitPeriod, type SoakRecords,
 } from './records.js';
+import type {Violation} from './violation.js';
 
 /** Time after a worker has first named a limit from which it binds, ms. */
 const LEARNING_MS = 3000;
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -82,6 +82,14 @@
 	untilMs: number;
 };
 
+/** Period in which callers send a request that crashes the workers which run it. Times are Unix ms. */
+export type CrashingRequest = {
+	readonly url: string;
+	readonly fromMs: number;
+	/** Infinity while it is sent. */
+	untilMs: number;
+};
+
 /** A request that arrived at a worker, executed or not. */
 export type Arrival = {
 	/** Id of the call. */
@@ -98,6 +106,7 @@
 	readonly runs: ExecutedRequest[];
 	readonly arrivals: Arrival[];
 	readonly limits: LimitPeriod[];
+	readonly crashingRequests: CrashingRequest[];
 	readonly exits: HostExit[];
 	readonly notices: ChangeNotice[];
 	readonly disturbances: Disturbance[];
@@ -110,7 +119,7 @@
 /** Creates records without observations. */
 export function createRecords(): SoakRecords {
 	return {
-		calls: [], runs: [], arrivals: [], limits: [], exits: [], notices: [], disturbances: [], stops: [], calmFromMs: Number.POSITIVE_INFINITY,
+		calls: [], runs: [], arrivals: [], limits: [], crashingRequests: [], exits: [], notices: [], disturbances: [], stops: [], calmFromMs: Number.POSITIVE_INFINITY,
 	};
 }
 
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -2,8 +2,9 @@
 import type {Random} from '@apricotwood/clock';
 import {Callers} from './callers.js';
 import {generatePlan, type Fault, type FaultKind} from './plan.js';
-import {UNTIMED_PROMISES, TIMED_PROMISES, checkPromises, type Violation} from './promises.js';
+import {UNTIMED_PROMISES, TIMED_PROMISES, checkPromises} from './promises.js';
 import type {SoakRecords} from './records.js';
+import type {Violation} from './violation.js';
 import {injectFault} from './fault-injection.js';
 import {SoakEnvironment, type EnvironmentOptions} from './environment.js';
 
--- a/test/soak/links.test.ts
+++ b/test/soak/links.test.ts
@@ -113,6 +113,22 @@
 	await stop();
 });
 
+test('link: new connections are refused while open ones are forwarded, and accepted again afterwards', async () => {
+	const {link, socket, received, stop} = await createEchoLink();
+	const endFault = link.startFault(LinkState.Refusing);
+	const [ip, port] = link.address.split(':');
+	const refused = connect(Number(port), ip);
+	assert.equal(await nextEvent(refused, 'connect', 'error'), 'error');
+	socket.write('open');
+	assert.equal(await nextEvent(socket, 'data', 'close'), 'data');
+	assert.deepEqual(received, ['open']);
+	endFault();
+	const accepted = connect(Number(port), ip);
+	assert.equal(await nextEvent(accepted, 'connect', 'error'), 'connect');
+	accepted.destroy();
+	await stop();
+});
+
 test('link: of two overlapping faults, the first to end leaves the other in force', async () => {
 	const {received, link, socket, stop} = await createEchoLink();
 	const first = nextEvent(socket, 'data');
--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -154,6 +154,28 @@
 	}
 });
 
+test('promises: reports a request that is sent on after three crashes, and another one that is refused as their cause', () => {
+	const url = '/read/crash0?filler=0';
+	const calls = Array.from({length: 8}, (_, index) => createCall({
+		id: `c${index}`, kind: CallKind.Read, url, status: 502, sentAtMs: 10_000 + (index * 1000), endAtMs: 10_100 + (index * 1000),
+	}));
+	const arrivals = calls.map(({id, sentAtMs: atMs}) => ({id, worker: 'w1', atMs}));
+	const records = {
+		calls, arrivals, runs: calls.map(({id, sentAtMs: atMs}) => createRun({id, atMs, url, method: 'POST'})), crashingRequests: [{url, fromMs: 10_000, untilMs: 20_000}],
+	};
+	// The third crash is at 12 s; those at 16 and 17 s are later than 3 s after it.
+	assert.deepEqual(findBrokenPromises(records), []);
+	const more = Array.from({length: 2}, (_, index) => ({id: 'c7', worker: `w${index}`, atMs: 17_100}));
+	assert.deepEqual(findBrokenPromises({...records, arrivals: [...arrivals, ...more]}), ['crash']);
+	const disturbances = [{
+		kind: FaultKind.HostPause, subject: 'h1', fromMs: 15_000, untilMs: 15_500,
+	}];
+	assert.deepEqual(findBrokenPromises({...records, arrivals: [...arrivals, ...more], disturbances}), []);
+	const refused = createCall({id: 'c9', kind: CallKind.Read, status: 503, answer: '{"error":"quarantined","message":""}'});
+	assert.deepEqual(findBrokenPromises({...records, calls: [...calls, refused]}), ['crash']);
+	assert.deepEqual(findBrokenPromises({...records, calls: [...calls, {...refused, url}]}), []);
+});
+
 test('breakages: the text that each replaces stands in its source file once', () => {
 	for (const [name, {file, from}] of Object.entries(BREAKAGES)) {
 		const source = readFileSync(new URL(`../../${file}`, import.meta.url), 'utf8');
