fix(entry): a request that crashes workers is not sent on after three crashes

Cause: nothing connected the crash of a worker with what ran there. A failed attempt counted against the worker alone; the request, under a new id each time, was placed like any other, at all hosts, and repeated inside each host. The class is that of a decision that needs what several hosts have seen, and is taken by each from what it sees of one attempt.

Ruled out: that counting on each host is enough. When the fourth worker had crashed, no host had seen more than two crashes.

Change: a request is known by a fingerprint (caller, method, host, target, body). A connection that ends without a response is a crash only if the worker refuses the next one. The workers that crashed under a request are a set that hosts merge (CrashTracker); a response clears the request, and crashes that a quarantined request explains do not count against those that ran beside it. After two crashes a host sends one copy at a time and does not repeat it; after three all hosts refuse it at once, without Retry-After, and cancel what is in progress. Hosts exchange it as they do rate limits: both are topics of PeerReports now, news at once, nothing in calm.

--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -4,7 +4,7 @@
 } from '@apricotwood/clock';
 import {hashText} from '@apricotwood/routing';
 import {
-	WarmupLimiter, RoundTripTimes, LoadTracker, Placer, RateLimitTracker, ReportInterval, RetryBudget, TrafficSplitter,
+	AttemptOutcome, CrashTracker, WarmupLimiter, RoundTripTimes, LoadTracker, Placer, RateLimitTracker, ReportInterval, RetryBudget, TrafficSplitter,
 	ServiceTimeEstimator, WaitingRequests, ObjectCacheModel, WorkerHealthTracker, WorkerRateLimiter, type RetryBudgetOptions, type SendingHosts,
 } from '@apricotwood/steering';
 import {Supervisor} from '@apricotwood/supervisor';
@@ -13,7 +13,11 @@
 import {HeartbeatService} from '../peer/heartbeat-service.js';
 import {CatchUpClient, serveCatchUp} from '../peer/catch-up.js';
 import {UdpChannel} from '../peer/channel.js';
+import {CrashReports} from '../peer/crash-reports.js';
 import {MemberList} from '../peer/members.js';
+import {RateLimitReports} from '../peer/rate-limit-reports.js';
+import {PeerReports} from '../peer/reports.js';
+import {CrashGuard} from '../request/crash-guard.js';
 import {Ingress} from '../request/ingress.js';
 import type {RunningAttempt, SessionDeps} from '../request/session-deps.js';
 import {RetryDetector} from '../request/retry-detector.js';
@@ -83,6 +87,7 @@
 	readonly #workerHealth = new WorkerHealthTracker();
 	readonly #rateLimits = new RateLimitTracker();
 	readonly #rateLimiter: WorkerRateLimiter;
+	readonly #crashes = new CrashTracker();
 	readonly #serviceTimes = new ServiceTimeEstimator();
 	readonly #objectCaches = new ObjectCacheModel();
 	readonly #reportInterval = new ReportInterval();
@@ -131,6 +136,27 @@
 			countHosts,
 			warmupPerSecond: service => this.state.table?.getService(service)?.warmupPerSecond,
 		});
+		const crashGuard = new CrashGuard({
+			clock,
+			log,
+			metrics,
+			crashes: this.#crashes,
+			onNews: () => {
+				this.#heartbeats.sendReports();
+			},
+		});
+		const reports = new PeerReports([
+			new RateLimitReports({
+				clock, log, state: this.state, rateLimits: this.#rateLimits,
+			}),
+			new CrashReports({
+				clock,
+				crashes: this.#crashes,
+				onNews(fingerprints) {
+					crashGuard.refresh(fingerprints);
+				},
+			}),
+		], metrics);
 		const sessionDeps: SessionDeps = {
 			clock,
 			random,
@@ -144,7 +170,15 @@
 			serviceTimes: this.#serviceTimes,
 			workerHealth: this.#workerHealth,
 			rateLimits: this.#rateLimits,
-			crashDetector: new CrashDetector({clock, log, onCrash() {}}),
+			crashDetector: new CrashDetector({
+				clock,
+				log,
+				onCrash: (worker, fingerprints) => {
+					this.#workerHealth.recordAttempt(worker.hash, AttemptOutcome.Unreachable, clock.monotonic());
+					crashGuard.recordCrash(worker, fingerprints);
+				},
+			}),
+			crashGuard,
 			roundTrips,
 			retryBudget: new RetryBudget(settings.retryBudget),
 			trafficSplitter: new TrafficSplitter(),
@@ -185,7 +219,7 @@
 			state: this.state,
 			load,
 			objectCaches: this.#objectCaches,
-			rateLimits: this.#rateLimits,
+			reports,
 			channel: new UdpChannel(log, metrics),
 			catchUp: this.#catchUp,
 			isReady: () => this.isReady,
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -19,7 +19,12 @@
 export {
 	decodeHeartbeat, encodeHeartbeat, type Heartbeat, type ObservedHost, type ZoneSummary,
 } from './peer/heartbeat-codec.js';
-export {decodeRateLimits, encodeRateLimits, isRateLimitReport} from './peer/rate-limit-codec.js';
+export {
+	decodeReport, encodeReport, isReport, ReportKind,
+} from './peer/report-codec.js';
+export {PeerReports, type ReportTopic} from './peer/reports.js';
+export {RateLimitReports, decodeRateLimits, encodeRateLimits} from './peer/rate-limit-reports.js';
+export {CrashReports, decodeCrashes, encodeCrashes} from './peer/crash-reports.js';
 export {HeartbeatService, type HeartbeatServiceDeps, type CatchUpSource} from './peer/heartbeat-service.js';
 export {UdpChannel, type Address, type DatagramChannel} from './peer/channel.js';
 export {RelaySelector, type Recipients} from './peer/relays.js';
--- /dev/null
+++ b/packages/entry/src/peer/crash-reports.ts
@@ -0,0 +1,59 @@
+import type {Clock} from '@apricotwood/clock';
+import type {CrashReport, CrashTracker} from '@apricotwood/steering';
+import * as z from 'zod';
+import {ReportKind} from './report-codec.js';
+import type {ReportTopic} from './reports.js';
+
+/** Dependencies of `CrashReports`. */
+export type CrashReportsDeps = {
+	readonly clock: Clock;
+	readonly crashes: CrashTracker;
+	/** Called when a peer has reported news. @param requests fingerprints of the requests that they are about. */
+	readonly onNews: (requests: readonly string[]) => void;
+};
+
+/** Upper bound of the length of a fingerprint, characters. */
+const MAX_FINGERPRINT_LENGTH = 64;
+
+const crashesSchema = z.array(z.tuple([z.string().min(1).max(MAX_FINGERPRINT_LENGTH), z.number().int().min(0), z.array(z.number()), z.number().min(0)]));
+
+/** Encodes what is known of requests that were at crashes, each as fingerprint, generation, worker hashes and age in ms. */
+export function encodeCrashes(reports: readonly CrashReport[]): unknown[] {
+	return reports.map(({request, generation, workers, ageMs}) => [request, generation, workers, Math.round(ageMs)]);
+}
+
+/** Decodes and validates reports of crashes. @returns `undefined` if they are invalid. */
+export function decodeCrashes(entries: unknown): CrashReport[] | undefined {
+	const parsed = crashesSchema.safeParse(entries);
+	return parsed.success
+		? parsed.data.map(([request, generation, workers, ageMs]) => ({
+			request, generation, workers, ageMs,
+		}))
+		: undefined;
+}
+
+/** Exchanges with the other hosts which requests were at workers when they crashed: each host may see only one of the crashes. */
+export class CrashReports implements ReportTopic {
+	readonly kind = ReportKind.Crashes;
+
+	constructor(private readonly deps: CrashReportsDeps) {}
+
+	takeEntries(nowMs: number): unknown[] {
+		return encodeCrashes(this.deps.crashes.takeReports(nowMs));
+	}
+
+	receive(entries: unknown): boolean {
+		const {crashes, clock, onNews} = this.deps;
+		const reports = decodeCrashes(entries);
+		if (!reports) {
+			return false;
+		}
+
+		const news = reports.filter(report => crashes.recordPeerReport(report, clock.monotonic()));
+		if (news.length > 0) {
+			onNews(news.map(({request}) => request));
+		}
+
+		return true;
+	}
+}
--- a/packages/entry/src/peer/heartbeat-service.ts
+++ b/packages/entry/src/peer/heartbeat-service.ts
@@ -1,7 +1,7 @@
 import type {Buffer} from 'node:buffer';
 import {sleep, type Clock} from '@apricotwood/clock';
 import type {
-	LoadTracker, ObjectCacheModel, RateLimitTracker, ReportInterval,
+	LoadTracker, ObjectCacheModel, ReportInterval,
 } from '@apricotwood/steering';
 import type {Log, Metrics} from '@apricotwood/telemetry';
 import type {HostEntry} from '../source.js';
@@ -11,9 +11,9 @@
 import {
 	decodeHeartbeat, encodeHeartbeat, type Heartbeat, type ObservedHost, type ZoneSummary,
 } from './heartbeat-codec.js';
-import {isRateLimitReport} from './rate-limit-codec.js';
-import {RateLimitReports} from './rate-limit-reports.js';
 import {RelaySelector} from './relays.js';
+import {isReport} from './report-codec.js';
+import type {PeerReports} from './reports.js';
 import {ZoneSummaries} from './zone-summaries.js';
 
 /** Time between two regular heartbeats, ms. */
@@ -48,7 +48,7 @@
 	readonly state: ReplicatedState;
 	readonly load: LoadTracker;
 	readonly objectCaches: ObjectCacheModel;
-	readonly rateLimits: RateLimitTracker;
+	readonly reports: PeerReports;
 	readonly channel: DatagramChannel;
 	readonly catchUp: CatchUpSource;
 	readonly isReady: () => boolean;
@@ -60,14 +60,13 @@
  * Sends and receives heartbeats: announces this host's status, load and
  * replication status, records those of the other hosts, and requests missing
  * changes from peers that are ahead. Between two regular heartbeats, load reports
- * follow as often as the duration of the requests demands. The rate limits that
- * workers name follow a regular heartbeat in a message of their own; every host
- * reports all that it knows, so they also spread over relays.
+ * follow as often as the duration of the requests demands. Reports, such as the
+ * rate limits that workers name, follow a regular heartbeat in messages of their
+ * own; urgent ones are sent between heartbeats.
  */
 export class HeartbeatService {
 	readonly #relaySelector: RelaySelector;
 	readonly #zoneSummaries: ZoneSummaries;
-	readonly #rateLimitReports: RateLimitReports;
 	#heartbeatCount = 0;
 	/** Requests sent by this host since its last heartbeat, as worker hash and object hash pairs. */
 	#sentRequests: number[] = [];
@@ -82,7 +81,6 @@
 	constructor(private readonly deps: HeartbeatServiceDeps) {
 		this.#relaySelector = new RelaySelector(deps.members);
 		this.#zoneSummaries = new ZoneSummaries({...deps, relaySelector: this.#relaySelector});
-		this.#rateLimitReports = new RateLimitReports(deps);
 	}
 
 	/** Records that a request for an object was sent to a worker, to be included in the next heartbeat. */
@@ -157,15 +155,25 @@
 		const isAlive = (member: Member) => members.isAlive(member, nowMs);
 		const alive = recipients.members.filter(member => isAlive(member));
 		this.#sendAll(alive, heartbeat);
-		const limits = this.#rateLimitReports.create(nowMs);
-		if (limits) {
-			this.#sendBytes(alive, limits);
-		}
-
+		this.#sendReportsTo(alive, nowMs);
 		this.#sendAll(recipients.members.filter(member => !isAlive(member)), {...heartbeat, hostEntries: [...heartbeat.hostEntries.filter(({id}) => id !== members.self.id), members.self]});
 		this.#heartbeatCount++;
 	}
 
+	/** Sends what there is to report without waiting for the next heartbeat. */
+	sendReports(): void {
+		const {members, clock} = this.deps;
+		const nowMs = clock.monotonic();
+		const recipients = this.#relaySelector.selectRecipients(nowMs, undefined);
+		this.#sendReportsTo(recipients.members.filter(member => members.isAlive(member, nowMs)), nowMs);
+	}
+
+	#sendReportsTo(members: readonly Member[], nowMs: number): void {
+		for (const message of this.deps.reports.create(nowMs)) {
+			this.#sendBytes(members, message);
+		}
+	}
+
 	/** Sends a heartbeat with this host's entry to an address whose host may not know this one. */
 	announceTo(ip: string, port: number): void {
 		this.deps.channel.send(encodeHeartbeat({...this.#createHeartbeat(), hostEntries: [this.deps.members.self]}), {ip, port});
@@ -228,8 +236,8 @@
 	}
 
 	#receive(bytes: Buffer, from: Address): void {
-		if (isRateLimitReport(bytes)) {
-			this.#rateLimitReports.receive(bytes);
+		if (isReport(bytes)) {
+			this.deps.reports.receive(bytes);
 			return;
 		}
 
--- a/packages/entry/src/peer/rate-limit-reports.ts
+++ b/packages/entry/src/peer/rate-limit-reports.ts
@@ -1,36 +1,50 @@
-import type {Buffer} from 'node:buffer';
 import type {Clock} from '@apricotwood/clock';
-import type {RateLimitTracker} from '@apricotwood/steering';
-import type {Log, Metrics} from '@apricotwood/telemetry';
+import type {RateLimit, RateLimitTracker} from '@apricotwood/steering';
+import type {Log} from '@apricotwood/telemetry';
+import * as z from 'zod';
 import type {ReplicatedState} from '../state/replicated-state.js';
-import {decodeRateLimits, encodeRateLimits} from './rate-limit-codec.js';
+import {ReportKind} from './report-codec.js';
+import type {ReportTopic} from './reports.js';
 
 /** Dependencies of `RateLimitReports`. */
 export type RateLimitReportsDeps = {
 	readonly clock: Clock;
 	readonly log: Log;
-	readonly metrics: Metrics;
 	readonly state: ReplicatedState;
 	readonly rateLimits: RateLimitTracker;
 };
 
-/** Exchanges the rate limits of workers with the other hosts. Every host reports all that it knows, so that limits also spread over relays. */
-export class RateLimitReports {
+/** Encodes that a worker no longer names a limit. */
+const NO_LIMIT = -1;
+
+const limitsSchema = z.array(z.tuple([z.number(), z.number().min(NO_LIMIT), z.number().int().min(1)]));
+
+/** Encodes rate limits, each as worker hash, requests per second and version. */
+export function encodeRateLimits(limits: readonly RateLimit[]): unknown[] {
+	return limits.map(({worker, perSecond, version}) => [worker, perSecond ?? NO_LIMIT, version]);
+}
+
+/** Decodes and validates rate limits. @returns `undefined` if they are invalid. */
+export function decodeRateLimits(entries: unknown): RateLimit[] | undefined {
+	const parsed = limitsSchema.safeParse(entries);
+	return parsed.success ? parsed.data.map(([worker, perSecond, version]) => ({worker, perSecond: perSecond === NO_LIMIT ? undefined : perSecond, version})) : undefined;
+}
+
+/** Exchanges the rate limits of workers with the other hosts. */
+export class RateLimitReports implements ReportTopic {
+	readonly kind = ReportKind.RateLimits;
+
 	constructor(private readonly deps: RateLimitReportsDeps) {}
 
-	/** Creates the report of this host; `undefined` if it knows of no limit. */
-	create(nowMs: number): Buffer | undefined {
-		const limits = this.deps.rateLimits.listReports(nowMs);
-		return limits.length === 0 ? undefined : encodeRateLimits(limits);
+	takeEntries(nowMs: number): unknown[] {
+		return encodeRateLimits(this.deps.rateLimits.listReports(nowMs));
 	}
 
-	/** Records the report of a peer. */
-	receive(bytes: Buffer): void {
-		const {rateLimits, state, metrics, log, clock} = this.deps;
-		const limits = decodeRateLimits(bytes);
+	receive(entries: unknown): boolean {
+		const {rateLimits, state, log, clock} = this.deps;
+		const limits = decodeRateLimits(entries);
 		if (!limits) {
-			metrics.count('beats.unreadable');
-			return;
+			return false;
 		}
 
 		for (const limit of limits) {
@@ -41,5 +55,7 @@
 				});
 			}
 		}
+
+		return true;
 	}
 }
--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -50,6 +50,7 @@
 	readonly records: AttemptRecord[] = [];
 	#exchange: Exchange | undefined;
 	#mayHaveRun = false;
+	#brokenAttempts = 0;
 
 	constructor(private readonly deps: SessionDeps, private readonly request: AttemptRequest, private readonly sink: ResponseSink) {}
 
@@ -58,6 +59,11 @@
 		return this.#mayHaveRun;
 	}
 
+	/** Number of attempts whose connection ended without a response. */
+	get brokenAttempts(): number {
+		return this.#brokenAttempts;
+	}
+
 	/** Cancels the attempt in progress. Its connection is reset; otherwise buffered request bytes could still be delivered to the worker. */
 	cancel(): void {
 		this.#exchange?.cancel();
@@ -182,7 +188,7 @@
 	/** Records the outcome of an attempt: the worker's health and reported load, service times, learned cache capacity, and mismatched responses in the pool. */
 	#recordOutcome(worker: Worker, {cacheState, reuseDistance, waitMs}: Placement, result: ExchangeResult, record: AttemptRecord, networkMs: number): void {
 		const {registration: {id, address, slots}, hash} = worker;
-		const {workerHealth, serviceTimes, load, pool, clock, objectCaches, reportInterval, crashDetector} = this.deps;
+		const {workerHealth, serviceTimes, load, pool, clock, objectCaches, reportInterval, crashDetector, crashGuard} = this.deps;
 		const {route, service, object} = this.request;
 		const nowMs = clock.monotonic();
 		const reported = result.head?.metadata.load;
@@ -197,6 +203,10 @@
 			case ExchangeEnd.Streamed: {
 				const outcome = classifyResponse(result.head!);
 				workerHealth.recordAttempt(hash, outcome, nowMs);
+				if (outcome === AttemptOutcome.Good && result.head!.status < FIRST_ERROR_STATUS) {
+					crashGuard.recordResponse(this.request.fingerprint);
+				}
+
 				if (outcome === AttemptOutcome.Good) {
 					reportInterval.record(record.ms!, reported !== undefined && reported.running + reported.waiting >= slots);
 					const wasWarm = serviceTimes.record(route, service, hash, cacheState, Math.max(1, record.ms! - networkMs), waitMs, nowMs);
@@ -222,6 +232,7 @@
 			case ExchangeEnd.Broken: {
 				workerHealth.recordAttempt(hash, AttemptOutcome.Failed, nowMs);
 				if (!result.head) {
+					this.#brokenAttempts++;
 					crashDetector.recordBrokenConnection(worker, this.request.fingerprint.value);
 				}
 
--- a/packages/entry/src/request/rejection.ts
+++ b/packages/entry/src/request/rejection.ts
@@ -14,6 +14,10 @@
 	Late = 'late',
 	/** All eligible workers name a rate limit, and the share of this host is used up. */
 	RateLimited = 'rate-limited',
+	/** Workers crashed while they ran the request; it is not sent to further ones. */
+	Quarantined = 'quarantined',
+	/** Workers crashed while they ran the request, and another copy of it is in progress. */
+	Suspect = 'suspect',
 	/** No attempt has run the request; the last one was shed, answered by another worker, or cancelled before it was sent. */
 	Shed = 'shed',
 	/** No attempt has run the request; the last one could not open a connection. */
--- a/packages/entry/src/request/session-deps.ts
+++ b/packages/entry/src/request/session-deps.ts
@@ -6,6 +6,7 @@
 import type {Dialect} from '../dialect.js';
 import type {CrashDetector} from '../upstream/crash-detector.js';
 import type {ConnectionPool} from '../upstream/pool.js';
+import type {CrashGuard} from './crash-guard.js';
 import type {RetryDetector} from './retry-detector.js';
 
 /** An attempt that is waiting for a response. */
@@ -33,6 +34,7 @@
 	readonly workerHealth: WorkerHealthTracker;
 	readonly rateLimits: RateLimitTracker;
 	readonly crashDetector: CrashDetector;
+	readonly crashGuard: CrashGuard;
 	readonly roundTrips: RoundTripTimes;
 	readonly retryBudget: RetryBudget;
 	readonly trafficSplitter: TrafficSplitter;
--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -9,6 +9,7 @@
 import {
 	BodyReadResult, hasBody, readBody, type RequestBody,
 } from './body.js';
+import {createQuarantineRejection, type GuardedRequest} from './crash-guard.js';
 import {RequestFingerprint} from './fingerprint.js';
 import {
 	RejectionCode, createNotRunRejection, createUnknownOutcomeRejection, type Rejection,
@@ -45,6 +46,8 @@
 	readonly #writer: ResponseWriter;
 	#sender: AttemptSender | undefined;
 	#hasCallerLeft = false;
+	/** Why the request was stopped before it had a response. */
+	#stopReason: Rejection | undefined;
 	#queuedMs = 0;
 	#resumeWaiting: (() => void) | undefined;
 
@@ -112,15 +115,38 @@
 		return body?.result === BodyReadResult.Broken ? {code: RejectionCode.BodyBroken, status: 400, message: 'request body ended before it was complete'} : undefined;
 	}
 
-	/** @returns the rejection to send to the caller; `undefined` if a worker's response has been forwarded, or the caller's connection was reset or has closed. */
+	/** Serves the request unless it is known to crash workers. @returns as `#tryWorkers`. */
 	async #serve(body: RequestBody | undefined): Promise<Rejection | undefined> {
-		const sender = this.#createSender(body);
-		this.#sender = sender;
+		const {crashGuard} = this.deps;
+		const fingerprint = new RequestFingerprint(this.req, body);
+		const guarded: GuardedRequest = {
+			fingerprint,
+			stop: () => {
+				this.#stop(createQuarantineRejection(fingerprint));
+			},
+		};
+		const rejection = crashGuard.enter(guarded);
+		if (rejection) {
+			return rejection;
+		}
+
+		this.#sender = this.#createSender(body, fingerprint);
+		const outcome = await this.#tryWorkers(body, this.#sender, guarded);
+		crashGuard.leave(guarded);
+		return outcome;
+	}
+
+	/** @returns the rejection to send to the caller; `undefined` if a worker's response has been forwarded, or the caller's connection was reset or has closed. */
+	async #tryWorkers(body: RequestBody | undefined, sender: AttemptSender, guarded: GuardedRequest): Promise<Rejection | undefined> {
 		const isStreaming = body?.result === BodyReadResult.Unbuffered;
 		const maxAttempts = isStreaming ? 1 : this.route.maxAttempts;
 		let failure: Rejection | undefined;
 		for (let sentCount = 0; sentCount < maxAttempts;) {
 			const placement = await this.#awaitPlacement(); // eslint-disable-line no-await-in-loop
+			if (this.#stopReason) {
+				return failure ?? this.#stopReason;
+			}
+
 			if (!placement) {
 				return {code: RejectionCode.CallerLeft, status: 499, message: 'caller left before the request was sent'};
 			}
@@ -142,9 +168,7 @@
 			}
 
 			failure = this.#createFailure(result, sender);
-			const isRepeatable = !sender.mayHaveRun || this.route.kind === RequestKind.Idempotent;
-			// `sentCount` excludes attempts without a connection, so the number of all attempts is bounded here: at most `maxAttempts` + 3.
-			if (this.#hasCallerLeft || !isRepeatable || this.#remainingMs < MIN_ATTEMPT_MS || sender.records.length > this.route.maxAttempts + 2) {
+			if (!this.#canRetry(sender, guarded)) {
 				return failure;
 			}
 
@@ -158,9 +182,16 @@
 		return failure;
 	}
 
-	#createSender(body: RequestBody | undefined): AttemptSender {
+	/** Whether another attempt may follow a failed one. */
+	#canRetry(sender: AttemptSender, guarded: GuardedRequest): boolean {
+		const isRepeatable = !sender.mayHaveRun || (this.route.kind === RequestKind.Idempotent && this.deps.crashGuard.canRetry(guarded, sender.brokenAttempts));
+		// `#tryWorkers` does not count attempts without a connection, so the number of all attempts is bounded here: at most `maxAttempts` + 3.
+		return isRepeatable && !this.#hasCallerLeft && this.#remainingMs >= MIN_ATTEMPT_MS && sender.records.length <= this.route.maxAttempts + 2;
+	}
+
+	#createSender(body: RequestBody | undefined, fingerprint: RequestFingerprint): AttemptSender {
 		return new AttemptSender(this.deps, {
-			req: this.req, body, route: this.route, service: this.#service, object: this.#object, metadata: this.metadata, fingerprint: new RequestFingerprint(this.req, body), deadlineAtMs: this.#deadlineAtMs,
+			req: this.req, body, route: this.route, service: this.#service, object: this.#object, metadata: this.metadata, fingerprint, deadlineAtMs: this.#deadlineAtMs,
 		}, this.#writer);
 	}
 
@@ -177,7 +208,7 @@
 		}
 
 		const startAtMs = clock.monotonic();
-		const place = (waitingBefore: number) => this.#hasCallerLeft ? undefined : placer.place(this.#createPlacementRequest(waitingBefore), clock.monotonic());
+		const place = (waitingBefore: number) => this.#hasCallerLeft || this.#stopReason ? undefined : placer.place(this.#createPlacementRequest(waitingBefore), clock.monotonic());
 		let placement = place(waiting.countBefore(this.#service, this.route.priority));
 		if (placement?.action !== PlacementAction.Wait || waiting.isFull) {
 			return placement;
@@ -256,6 +287,10 @@
 	}
 
 	#createFailure({end, message, head}: ExchangeResult, {mayHaveRun}: AttemptSender): Rejection {
+		if (this.#stopReason && mayHaveRun) {
+			return createUnknownOutcomeRejection(RejectionCode.Unknown, this.#stopReason.message);
+		}
+
 		if (mayHaveRun) {
 			const isTimeout = end === ExchangeEnd.Cancelled || head?.status === 504;
 			return createUnknownOutcomeRejection(isTimeout ? RejectionCode.Timeout : RejectionCode.Unknown, message === '' ? `worker answered with status ${head?.status}` : message);
@@ -274,6 +309,13 @@
 		return computeRetryAfterMs(availableInMs, remainingMs, this.deps.random);
 	}
 
+	/** Ends the request with a rejection: it waits no longer, and an attempt in progress is cancelled. */
+	#stop(reason: Rejection): void {
+		this.#stopReason = reason;
+		this.#resumeWaiting?.();
+		this.#sender?.cancel();
+	}
+
 	#onCallerLeft(): void {
 		this.#hasCallerLeft = true;
 		this.#resumeWaiting?.();
--- a/packages/soak/src/breakages.ts
+++ b/packages/soak/src/breakages.ts
@@ -13,7 +13,7 @@
 export const BREAKAGES: Readonly<Record<string, Breakage>> = {
 	'repeat-all': {
 		file: 'packages/entry/src/request/session.ts',
-		from: 'const isRepeatable = !sender.mayHaveRun || this.route.kind === RequestKind.Idempotent;',
+		from: 'const isRepeatable = !sender.mayHaveRun || (this.route.kind === RequestKind.Idempotent && this.deps.crashGuard.canRetry(guarded, sender.brokenAttempts));',
 		to: 'const isRepeatable = true;',
 		promise: 'once',
 	},
@@ -47,6 +47,18 @@
 		to: 'const ready: Array<{hash: number; region: string}> = [];',
 		promise: 'limit',
 	},
+	'ignores-quarantine': {
+		file: 'packages/steering/src/crash-tracker.ts',
+		from: 'return isQuarantined ? CrashVerdict.Quarantined : CrashVerdict.Suspect;',
+		to: 'return CrashVerdict.Clear;',
+		promise: 'crash',
+	},
+	'keeps-crashes-alone': {
+		file: 'packages/entry/src/peer/crash-reports.ts',
+		from: 'const news = reports.filter(report => crashes.recordPeerReport(report, clock.monotonic()));',
+		to: 'const news: CrashReport[] = [];',
+		promise: 'crash',
+	},
 	'leaves-at-once': {
 		file: 'packages/entry/src/host/host.ts',
 		from: 'await sleep(clock, Math.min(LEAVE_MS, settings.graceMs / 1.7));',
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -54,7 +54,7 @@
 for (const name of ['SIGINT', 'SIGTERM'] as const) {
 	// The `exit` event kills the host processes.
 	process.on(name, () => {
-		process.exit(1);
+		process.exit(1); // eslint-disable-line unicorn/no-process-exit
 	});
 }
 
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -4,6 +4,9 @@
 	DEFAULT_CALLER_LIMITS, RequestKind, type CallerLimits, type Route, type ServiceShare, type ServiceSpec, type SteeringConfig,
 } from './config.js';
 export {RouteTable} from './routes.js';
+export {
+	CrashTracker, CrashVerdict, SUSPECT_CRASHES, type CrashReport,
+} from './crash-tracker.js';
 export {TrafficSplitter} from './traffic-splitter.js';
 export {
 	Fleet, WorkerState, type Worker, type WorkerRegistration,
--- a/test/entry/crashing-requests.test.ts
+++ b/test/entry/crashing-requests.test.ts
@@ -12,6 +12,8 @@
 const MAX_CRASHES = 3;
 const MAX_LATER_ARRIVALS = 3;
 const CONTACT_MS = 3000;
+/** Time for which a worker runs the crashing request before it ends, ms. */
+const CRASH_DELAY_MS = 100;
 /** Time between two arrivals of the crashing request at some host, ms. */
 const CRASH_GAP_MS = 60;
 /** Time between two other requests, ms. */
@@ -44,6 +46,7 @@
 	for (const worker of workers) {
 		worker.processingMs = 20;
 		worker.crashingUrl = 'crash';
+		worker.crashDelayMs = CRASH_DELAY_MS;
 		await worker.start();
 		store.putWorker(worker.id, worker.entry);
 	}
@@ -82,3 +85,15 @@
 	const served = others.filter(({status}) => status === 200).length;
 	assert.ok(served >= others.length * 0.95, `${served} of ${others.length} other requests served`);
 });
+
+test('a request that many send while workers crash of another cause is never refused as the cause', async () => {
+	const requests = sendInTurn(2500, 10, () => '/read/popular');
+	for (const worker of [...workers, ...workers.slice(0, 3)]) {
+		await pause(180);
+		worker.crash();
+	}
+
+	const replies = await requests;
+	assert.deepEqual(replies.filter(({body}) => /quarantined|suspect/.test(body)), []);
+	assert.ok(replies.filter(({status}) => status === 200).length >= replies.length * 0.8);
+});
--- a/test/entry/rate-limit-reports.test.ts
+++ b/test/entry/rate-limit-reports.test.ts
@@ -3,7 +3,7 @@
 import {test} from 'node:test';
 import {SeededRandom} from '@apricotwood/clock';
 import {
-	decodeHeartbeat, decodeRateLimits, encodeRateLimits, isRateLimitReport,
+	ReportKind, decodeHeartbeat, decodeRateLimits, decodeReport, encodeRateLimits, encodeReport, isReport,
 } from '@apricotwood/entry';
 import {hashText} from '@apricotwood/routing';
 import type {RateLimit} from '@apricotwood/steering';
@@ -21,18 +21,21 @@
 
 test('rate limit reports: decoding an encoded report restores it, and hosts of earlier releases ignore it', () => {
 	fc.assert(fc.property(fc.array(limit), limits => {
-		const bytes = encodeRateLimits(limits);
-		assert.equal(isRateLimitReport(bytes), true);
-		assert.deepEqual(structuredClone(decodeRateLimits(bytes)), structuredClone(limits));
+		const bytes = encodeReport({kind: ReportKind.RateLimits, entries: encodeRateLimits(limits)});
+		assert.equal(isReport(bytes), true);
+		const report = decodeReport(bytes);
+		assert.equal(report?.kind, ReportKind.RateLimits);
+		assert.deepEqual(structuredClone(decodeRateLimits(report?.entries)), structuredClone(limits));
 		assert.equal(decodeHeartbeat(bytes), undefined);
 	}));
 });
 
 test('rate limit reports: invalid bytes are rejected without an exception', () => {
 	fc.assert(fc.property(fc.uint8Array({maxLength: 60}), bytes => {
-		decodeRateLimits(Buffer.from([0xC1, ...bytes]));
+		decodeRateLimits(decodeReport(Buffer.from([0xC1, ...bytes]))?.entries);
 	}));
-	assert.equal(decodeRateLimits(Buffer.of(0xC1)), undefined);
+	assert.equal(decodeReport(Buffer.of(0xC1)), undefined);
+	assert.equal(decodeRateLimits(undefined), undefined);
 });
 
 for (const [hostCount, zoneCount] of [[3, 1], [10, 6], [87, 6]] as const) {
