feat(entry): a host knows whether it reaches any worker, and logs when that changes

No line told a host that reaches no worker from one whose workers are down. No decision rests on it yet.

--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -4,7 +4,7 @@
 } from '@apricotwood/clock';
 import {hashText} from '@apricotwood/routing';
 import {
-	AttemptOutcome, CrashTracker, WarmupLimiter, RoundTripTimes, LoadTracker, Placer, RateLimitTracker, ReportInterval, RetryBudget, TrafficSplitter,
+	AttemptOutcome, CrashTracker, WarmupLimiter, RoundTripTimes, LoadTracker, Placer, RateLimitTracker, ReachabilityTracker, ReportInterval, RetryBudget, TrafficSplitter,
 	ServiceTimeEstimator, WaitingRequests, ObjectCacheModel, WorkerHealthTracker, WorkerRateLimiter, type RetryBudgetOptions, type SendingHosts,
 } from '@apricotwood/steering';
 import {Supervisor} from '@apricotwood/supervisor';
@@ -26,8 +26,10 @@
 import {SourcePoller} from '../state/source-poller.js';
 import {ReplicatedState} from '../state/replicated-state.js';
 import {CrashDetector} from '../upstream/crash-detector.js';
+import {createTcpConnector, type Connector} from '../upstream/connector.js';
 import {HealthChecker} from '../upstream/health-checker.js';
 import {ConnectionPool, computeMaxIdleConnections} from '../upstream/pool.js';
+import {ReachabilityProber} from '../upstream/reachability-prober.js';
 import {HostEvent, HostLifecycle, HostPhase} from './phase.js';
 import {Registration} from './registration.js';
 
@@ -55,6 +57,8 @@
 	readonly metrics: Metrics;
 	readonly source: SteeringSource;
 	readonly dialect: Dialect;
+	/** Opens the connections to workers. @default TCP */
+	readonly connector?: Connector;
 };
 
 /** Capacity of the waiting list; further requests that find no free worker are rejected. */
@@ -81,6 +85,8 @@
 	readonly #heartbeats: HeartbeatService;
 	readonly #sourcePoller: SourcePoller;
 	readonly #healthChecker: HealthChecker;
+	readonly #reachability = new ReachabilityTracker();
+	readonly #prober: ReachabilityProber;
 	readonly #registration: Registration;
 	readonly #catchUp = new CatchUpClient();
 	readonly #pool: ConnectionPool;
@@ -100,11 +106,21 @@
 		const {self} = settings;
 		const roundTrips = new RoundTripTimes();
 		this.members = new MemberList(self);
-		this.#pool = new ConnectionPool(clock, metrics, (worker, durationMs) => {
-			const region = this.state.fleet.get(worker)?.region;
-			if (region !== undefined) {
-				roundTrips.record(region, durationMs);
-			}
+		const connector = deps.connector ?? createTcpConnector();
+		this.#pool = new ConnectionPool({
+			clock,
+			metrics,
+			connector,
+			onConnect: (worker, durationMs) => {
+				this.#onWorkersReached(this.#reachability.recordConnect(clock.monotonic()));
+				const region = this.state.fleet.get(worker)?.region;
+				if (region !== undefined) {
+					roundTrips.record(region, durationMs);
+				}
+			},
+			onConnectFailure: worker => {
+				this.#reachability.recordFailure(hashText(worker));
+			},
 		});
 		this.state = new ReplicatedState(clock, log, {
 			onWorkerStart: id => {
@@ -170,8 +186,9 @@
 			serviceTimes: this.#serviceTimes,
 			workerHealth: this.#workerHealth,
 			rateLimits: this.#rateLimits,
+			reachability: this.#reachability,
 			crashDetector: new CrashDetector({
-				clock,
+				connector,
 				log,
 				onCrash: (worker, fingerprints) => {
 					this.#workerHealth.recordAttempt(worker.hash, AttemptOutcome.Unreachable, clock.monotonic());
@@ -241,7 +258,18 @@
 			},
 		});
 		this.#healthChecker = new HealthChecker({
-			clock, log, metrics, dialect, state: this.state, workerHealth: this.#workerHealth, rateLimiter: this.#rateLimiter,
+			clock, log, metrics, dialect, state: this.state, workerHealth: this.#workerHealth, rateLimiter: this.#rateLimiter, connector,
+		});
+		this.#prober = new ReachabilityProber({
+			clock,
+			random,
+			metrics,
+			fleet: this.state.fleet,
+			reachability: this.#reachability,
+			connector,
+			onChange: isIsolated => {
+				this.#onIsolationChange(isIsolated);
+			},
 		});
 	}
 
@@ -290,6 +318,7 @@
 			{name: 'join', run: async inner => this.#registration.run(inner)},
 			{name: 'follow', run: async inner => this.#sourcePoller.run(inner)},
 			{name: 'checks', run: async inner => this.#healthChecker.run(inner)},
+			{name: 'reach', run: async inner => this.#prober.run(inner)},
 			{name: 'report', run: async inner => this.#runReport(inner)},
 			{name: 'pump', run: async inner => this.#waitingRetrier.run(inner)},
 		], stop.signal);
@@ -359,6 +388,7 @@
 				epoch: this.state.epoch,
 				waiting: this.#waiting.size,
 				running: this.#running.size,
+				isIsolated: this.#reachability.isIsolated,
 				lagMs: Math.round(this.#waitingRetrier.takeMaxLagMs()),
 				memory: this.#objectCaches.listCapacities(),
 				times: this.#serviceTimes.snapshot(),
@@ -383,6 +413,17 @@
 		}
 	}
 
+	#onWorkersReached(hasIsolationEnded: boolean): void {
+		if (hasIsolationEnded) {
+			this.#onIsolationChange(false);
+		}
+	}
+
+	/** Called when this host has lost its path to all workers, or reaches one again. */
+	#onIsolationChange(isIsolated: boolean): void {
+		this.deps.log.warn({event: 'isolation', isIsolated});
+	}
+
 	/** Hosts among which the rate limits of workers are divided: those that callers are sent to. */
 	#findSendingHosts(nowMs: number): SendingHosts {
 		const ready = this.members.ready(nowMs).map(({hash, entry: {region}}) => ({hash, region}));
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -30,6 +30,9 @@
 export {RelaySelector, type Recipients} from './peer/relays.js';
 export {RetryDetector} from './request/retry-detector.js';
 export {Connection} from './upstream/connection.js';
+export {
+	ProbeResult, createTcpConnector, probe, type Connector,
+} from './upstream/connector.js';
 export {
 	Exchange, ExchangeEnd, type ResponseHead, type ResponseSink, type ExchangeRequest, type ExchangeResult,
 } from './upstream/exchange.js';
--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -191,6 +191,10 @@
 		const {workerHealth, serviceTimes, load, pool, clock, objectCaches, reportInterval, crashDetector, crashGuard} = this.deps;
 		const {route, service, object} = this.request;
 		const nowMs = clock.monotonic();
+		if (result.head) {
+			this.deps.reachability.recordResponse(nowMs);
+		}
+
 		const reported = result.head?.metadata.load;
 		if (reported) {
 			load.recordReport(hash, reported.running + reported.waiting, nowMs);
--- a/packages/entry/src/request/session-deps.ts
+++ b/packages/entry/src/request/session-deps.ts
@@ -1,6 +1,6 @@
 import type {Clock, Random} from '@apricotwood/clock';
 import type {
-	RoundTripTimes, LoadTracker, Placer, RateLimitTracker, ReportInterval, RetryBudget, TrafficSplitter, ServiceTimeEstimator, WaitingRequests, ObjectCacheModel, WorkerHealthTracker,
+	RoundTripTimes, LoadTracker, Placer, RateLimitTracker, ReachabilityTracker, ReportInterval, RetryBudget, TrafficSplitter, ServiceTimeEstimator, WaitingRequests, ObjectCacheModel, WorkerHealthTracker,
 } from '@apricotwood/steering';
 import type {Log, Metrics} from '@apricotwood/telemetry';
 import type {Dialect} from '../dialect.js';
@@ -33,6 +33,7 @@
 	readonly serviceTimes: ServiceTimeEstimator;
 	readonly workerHealth: WorkerHealthTracker;
 	readonly rateLimits: RateLimitTracker;
+	readonly reachability: ReachabilityTracker;
 	readonly crashDetector: CrashDetector;
 	readonly crashGuard: CrashGuard;
 	readonly roundTrips: RoundTripTimes;
--- a/packages/entry/src/upstream/connection.ts
+++ b/packages/entry/src/upstream/connection.ts
@@ -1,15 +1,19 @@
 import type {Socket} from 'node:net';
-import {Client, buildConnector} from 'undici';
+import {Client} from 'undici';
 import {resetSocket, wasResetAtEnd} from '../socket.js';
+import {createTcpConnector, type Connector} from './connector.js';
 
-/** Timeout for opening a connection to a worker, ms. */
-const CONNECT_TIMEOUT_MS = 400;
 /** Idle timeout of a connection for workers that send no keep-alive hint, ms. */
 const DEFAULT_KEEP_ALIVE_TIMEOUT_MS = 4000;
-/** Idle time after which TCP keep-alive probes start, ms. */
-const TCP_KEEP_ALIVE_DELAY_MS = 1000;
 
-const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS, keepAlive: true, keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS, allowH2: false, allowHalfOpen: true});
+/** Receives the outcome of opening a connection. */
+export type ConnectListener = {
+	/** @param durationMs duration of the set-up, ms. */
+	readonly onConnect: (durationMs: number) => void;
+	readonly onConnectFailure: () => void;
+};
+
+const NO_LISTENER: ConnectListener = {onConnect() {}, onConnectFailure() {}};
 
 /** A connection to a worker that carries one request at a time. */
 export class Connection {
@@ -26,16 +30,18 @@
 	/** Number of requests started on this connection, also if it could not be opened. */
 	requestCount = 0;
 
-	/** @param onConnect called with the duration of the connection set-up, ms. */
-	constructor(address: string, onConnect: (durationMs: number) => void = () => {}) {
+	/** @param address `IP:port`. */
+	constructor(address: string, connector: Connector = createTcpConnector(), listener = NO_LISTENER) {
 		this.client = new Client(`http://${address}`, {
 			connect: (options, callback) => {
 				const startMs = performance.now();
-				connect(options, (...args) => {
+				connector(options, (...args) => {
 					const [error, socket] = args;
 					if (error === null) {
-						onConnect(performance.now() - startMs);
+						listener.onConnect(performance.now() - startMs);
 						this.#trackSocket(socket);
+					} else {
+						listener.onConnectFailure();
 					}
 
 					callback(...args);
--- a/packages/entry/src/upstream/crash-detector.ts
+++ b/packages/entry/src/upstream/crash-detector.ts
@@ -1,16 +1,13 @@
-import {connect} from 'node:net';
-import type {Clock} from '@apricotwood/clock';
 import {WorkerState, type Worker} from '@apricotwood/steering';
 import type {Log} from '@apricotwood/telemetry';
+import {ProbeResult, probe, type Connector} from './connector.js';
 
-/** Time after which a connection attempt is inconclusive: the path to the worker may be cut, ms. */
-const CONNECT_TIMEOUT_MS = 400;
 /** Maximum number of requests that are recorded for one crash. */
 const MAX_REQUESTS_PER_CRASH = 64;
 
 /** Dependencies of `CrashDetector`. */
 export type CrashDetectorDeps = {
-	readonly clock: Clock;
+	readonly connector: Connector;
 	readonly log: Log;
 	/** Called when a worker has crashed. @param fingerprints requests that ran there, the cause among them or not. */
 	readonly onCrash: (worker: Worker, fingerprints: readonly string[]) => void;
@@ -45,7 +42,8 @@
 
 	async #check(worker: Worker): Promise<void> {
 		const {id, address} = worker.registration;
-		const hasCrashed = await isRefused(address, this.deps.clock);
+		// A cut path may also leave the attempt without a response, which proves nothing.
+		const hasCrashed = await probe(this.deps.connector, address) === ProbeResult.Refused;
 		const fingerprints = [...this.#suspicions.get(id)!];
 		this.#suspicions.delete(id);
 		if (hasCrashed) {
@@ -54,26 +52,3 @@
 		}
 	}
 }
-
-/** Whether the address refuses a connection. `false` if it accepts one or does not respond. */
-async function isRefused(address: string, clock: Clock): Promise<boolean> {
-	const [host, port] = address.split(':');
-	return new Promise(resolve => {
-		const socket = connect({host: host!, port: Number(port)});
-		const finish = (isRefusal: boolean) => {
-			timer.cancel();
-			socket.destroy();
-			resolve(isRefusal);
-		};
-
-		const timer = clock.after(CONNECT_TIMEOUT_MS, () => {
-			finish(false);
-		});
-		socket.once('connect', () => {
-			finish(false);
-		});
-		socket.on('error', error => {
-			finish('code' in error && error.code === 'ECONNREFUSED');
-		});
-	});
-}
--- a/packages/entry/src/upstream/health-checker.ts
+++ b/packages/entry/src/upstream/health-checker.ts
@@ -4,6 +4,7 @@
 import type {Dialect} from '../dialect.js';
 import type {ReplicatedState} from '../state/replicated-state.js';
 import {Connection} from './connection.js';
+import type {Connector} from './connector.js';
 
 /** Interval at which this host looks for workers with a due health check, ms. */
 const POLL_INTERVAL_MS = 150;
@@ -19,6 +20,7 @@
 	readonly state: ReplicatedState;
 	readonly workerHealth: WorkerHealthTracker;
 	readonly rateLimiter: WorkerRateLimiter;
+	readonly connector: Connector;
 };
 
 /**
@@ -71,7 +73,7 @@
 	}
 
 	async #probe({registration: entry}: Worker, path: string, signal: AbortSignal): Promise<{hasPassed: boolean; coldMs: number; message?: string}> {
-		const connection = new Connection(entry.address);
+		const connection = new Connection(entry.address, this.deps.connector);
 		try {
 			const res = await connection.client.request({
 				method: 'GET', path, signal: AbortSignal.any([signal, AbortSignal.timeout(CHECK_TIMEOUT_MS)]),
--- a/packages/entry/src/upstream/pool.ts
+++ b/packages/entry/src/upstream/pool.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@apricotwood/clock';
 import type {Metrics} from '@apricotwood/telemetry';
 import {Connection} from './connection.js';
+import type {Connector} from './connector.js';
 
 /** Longest idle time of a connection for non-idempotent requests, ms; the worker may have dropped a connection that was idle for longer. */
 const MAX_IDLE_MS = 4000;
@@ -32,24 +33,31 @@
 	return maxConnections === undefined ? MAX_IDLE_CONNECTIONS_PER_WORKER : Math.min(MAX_IDLE_CONNECTIONS_PER_WORKER, Math.floor(maxConnections * MAX_IDLE_CONNECTION_RATIO / hosts));
 }
 
+/** Dependencies of `ConnectionPool`. */
+export type ConnectionPoolDeps = {
+	readonly clock: Clock;
+	readonly metrics: Metrics;
+	readonly connector: Connector;
+	/** Called when a connection was opened. @param durationMs duration of the set-up, ms. */
+	readonly onConnect: (worker: string, durationMs: number) => void;
+	/** Called when a connection could not be opened. */
+	readonly onConnectFailure: (worker: string) => void;
+};
+
 /** Pool of idle connections to workers, keyed by the worker's id and address. */
 export class ConnectionPool {
 	readonly #workers = new Map<string, WorkerConnections>();
 
-	/** @param onConnect called with the duration of the set-up of each new connection, ms. */
-	constructor(
-		private readonly clock: Clock,
-		private readonly metrics: Metrics,
-		private readonly onConnect: (worker: string, durationMs: number) => void,
-	) {}
+	constructor(private readonly deps: ConnectionPoolDeps) {}
 
 	/**
 	 * Returns an idle connection or creates a new one.
 	 * @param isNonIdempotent whether the request must not run twice: an idle connection is then reused only if it is unlikely to break or to carry surplus bytes.
 	 */
 	acquire(worker: string, address: string, isNonIdempotent: boolean): Connection {
+		const {clock, metrics, connector, onConnect, onConnectFailure} = this.deps;
 		const connections = this.#connectionsOf(worker, address);
-		const nowMs = this.clock.monotonic();
+		const nowMs = clock.monotonic();
 		for (let index = connections.idle.length - 1; index >= 0; index--) {
 			const connection = connections.idle[index]!;
 			if (connection.isClosed) {
@@ -66,9 +74,14 @@
 			}
 		}
 
-		this.metrics.count('upstream.connections');
-		return new Connection(address, durationMs => {
-			this.onConnect(worker, durationMs);
+		metrics.count('upstream.connections');
+		return new Connection(address, connector, {
+			onConnect(durationMs) {
+				onConnect(worker, durationMs);
+			},
+			onConnectFailure() {
+				onConnectFailure(worker);
+			},
 		});
 	}
 
@@ -83,14 +96,14 @@
 			return;
 		}
 
-		connection.idleSinceMs = this.clock.monotonic();
+		connection.idleSinceMs = this.deps.clock.monotonic();
 		idle.push(connection);
 	}
 
 	/** Records a response that belongs to another request, and closes the idle connections to the worker. */
 	recordMismatch(worker: string, address: string): void {
 		const connections = this.#connectionsOf(worker, address);
-		connections.mismatchUntilMs = this.clock.monotonic() + CAUTION_PERIOD_MS;
+		connections.mismatchUntilMs = this.deps.clock.monotonic() + CAUTION_PERIOD_MS;
 		for (const connection of connections.idle.splice(0)) {
 			connection.close();
 		}
@@ -98,7 +111,7 @@
 
 	/** Records that a reused connection broke during a request: the worker may have dropped it while it was idle. */
 	recordBrokenConnection(worker: string, address: string): void {
-		this.#connectionsOf(worker, address).brokenUntilMs = this.clock.monotonic() + CAUTION_PERIOD_MS;
+		this.#connectionsOf(worker, address).brokenUntilMs = this.deps.clock.monotonic() + CAUTION_PERIOD_MS;
 	}
 
 	/** Closes the idle connections to a worker that was removed. */
--- /dev/null
+++ b/packages/entry/src/upstream/reachability-prober.ts
@@ -0,0 +1,68 @@
+import {sleep, type Clock, type Random} from '@apricotwood/clock';
+import type {Fleet, ReachabilityTracker, Worker} from '@apricotwood/steering';
+import type {Metrics} from '@apricotwood/telemetry';
+import {ProbeResult, probe, type Connector} from './connector.js';
+
+/** Interval at which this host looks whether a probe is due, ms. */
+const POLL_INTERVAL_MS = 100;
+/** Number of workers in a sample. */
+const SAMPLE_SIZE = 4;
+
+/** Dependencies of `ReachabilityProber`. */
+export type ReachabilityProberDeps = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly metrics: Metrics;
+	readonly fleet: Fleet;
+	readonly reachability: ReachabilityTracker;
+	readonly connector: Connector;
+	/** Called when this host has become isolated from the workers, or reaches them again. */
+	readonly onChange: (isIsolated: boolean) => void;
+};
+
+/** Finds out whether this host reaches any worker: probes one if there is no traffic, and a sample if workers fail, until one accepts a connection. */
+export class ReachabilityProber {
+	constructor(private readonly deps: ReachabilityProberDeps) {}
+
+	/** Runs until the signal is aborted. */
+	async run(signal: AbortSignal): Promise<void> {
+		const {clock, reachability} = this.deps;
+		while (!signal.aborted) {
+			if (reachability.isProbeDue(clock.monotonic())) {
+				await this.#probeSample(reachability.isDoubtful ? SAMPLE_SIZE : 1); // eslint-disable-line no-await-in-loop
+			}
+
+			await sleep(clock, POLL_INTERVAL_MS, signal); // eslint-disable-line no-await-in-loop
+		}
+	}
+
+	async #probeSample(size: number): Promise<void> {
+		const {clock, metrics, reachability, connector, onChange} = this.deps;
+		const sample = this.#chooseSample(size);
+		metrics.count('reachability.probes', sample.length);
+		const results = await Promise.all(sample.map(async ({registration: {address}}) => probe(connector, address)));
+		if (results.includes(ProbeResult.Accepted)) {
+			if (reachability.recordConnect(clock.monotonic())) {
+				onChange(false);
+			}
+
+			return;
+		}
+
+		for (const {hash} of sample) {
+			reachability.recordFailure(hash);
+		}
+
+		if (sample.length > 0 && reachability.recordFailedSample()) {
+			onChange(true);
+		}
+	}
+
+	/** Chooses workers at random, first those that have not failed. */
+	#chooseSample(size: number): Worker[] {
+		const {fleet, reachability, random} = this.deps;
+		const candidates = [...fleet.all()].filter(worker => fleet.isInService(worker))
+			.map(worker => ({worker, order: random.next() + Number(reachability.hasFailed(worker.hash))}));
+		return candidates.toSorted((a, b) => a.order - b.order).slice(0, size).map(({worker}) => worker);
+	}
+}
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -19,6 +19,7 @@
 export {WarmupLimiter} from './warmup-limiter.js';
 export {RoundTripTimes} from './round-trip-times.js';
 export {ReportInterval} from './report-interval.js';
+export {ReachabilityTracker} from './reachability.js';
 export {RetryBudget, type RetryBudgetOptions} from './retry-budget.js';
 export {ServiceTimeEstimator, type ExpectedTimes} from './service-times.js';
 export {AttemptOutcome, WorkerHealthTracker} from './worker-health.js';
--- a/test/entry/pool.test.ts
+++ b/test/entry/pool.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {FakeClock} from '@apricotwood/clock';
 import {
-	ConnectionPool, Exchange, ExchangeEnd, computeMaxIdleConnections, type Connection,
+	ConnectionPool, Exchange, ExchangeEnd, computeMaxIdleConnections, createTcpConnector, type Connection,
 } from '@apricotwood/entry';
 import {PlatformHeaderCodec} from '@apricotwood/platform';
 import {Metrics} from '@apricotwood/telemetry';
@@ -19,7 +19,11 @@
 async function createPoolFixture(): Promise<PoolFixture> {
 	const clock = new FakeClock();
 	const worker = await new RawWorker(socket => socket.write(EMPTY_RESPONSE)).start();
-	return {clock, worker, pool: new ConnectionPool(clock, new Metrics(), () => {})};
+	return {
+		clock, worker, pool: new ConnectionPool({
+			clock, metrics: new Metrics(), connector: createTcpConnector(), onConnect() {}, onConnectFailure() {},
+		}),
+	};
 }
 
 /** Acquires a connection from the pool and sends one request on it. */
