feat(soak): hosts that reach no worker, and a promise on them

Each host reaches the workers over links of its own: the soak's build replaces the workers' IP address by one per host, so that one host, or all of a zone, can be cut off: new connections are refused, open ones are reset or live on. The promise `isolated` is that of the issue: from 3 s on, calls there are served at least two thirds as often as at the others, or few fail.

--- a/packages/soak/src/breakages.ts
+++ b/packages/soak/src/breakages.ts
@@ -1,10 +1,14 @@
-/** Deliberate defect in the product: replaces source text at build time, to verify that the soak test detects the defect. */
-export type Breakage = {
+/** Source text that is replaced when the hosts are built. */
+export type Replacement = {
 	/** Source file, relative to the root of the workspace. */
 	readonly file: string;
 	/** Source text to replace, letter for letter. */
 	readonly from: string;
 	readonly to: string;
+};
+
+/** Deliberate defect in the product, to verify that the soak test detects the defect. */
+export type Breakage = Replacement & {
 	/** Promise that the defect violates. */
 	readonly promise: string;
 };
--- a/packages/soak/src/build.ts
+++ b/packages/soak/src/build.ts
@@ -1,38 +1,63 @@
 import {readFileSync} from 'node:fs';
 import path from 'node:path';
 import type {Plugin} from 'esbuild';
-import {BREAKAGES} from './breakages.js';
+import {BREAKAGES, type Replacement} from './breakages.js';
 
 /** Module `platform/bundle.mjs`. */
 type Bundler = {
 	bundle(outfile: string, plugins?: readonly Plugin[]): Promise<void>;
 };
 
+/** Environment variable of a host with the IP address at which it reaches all workers, each at the port that it has registered. */
+export const WORKER_IP_VARIABLE = 'SOAK_WORKER_IP';
+
+/** Lets each host reach the workers over links of its own, so that one host can be cut off. */
+const INSTRUMENTATION: readonly Replacement[] = [
+	{
+		file: 'platform/src/main.ts',
+		from: 'import {EntryHost} from ',
+		to: 'import {EntryHost, createTcpConnector} from ',
+	},
+	{
+		file: 'platform/src/main.ts',
+		from: 'dialect: new PlatformHeaderCodec(),',
+		to: `dialect: new PlatformHeaderCodec(), connector: (options, callback) => createTcpConnector()({...options, hostname: process.env.${WORKER_IP_VARIABLE}!}, callback),`,
+	},
+];
+
 /**
- * Bundles the program of an entry host in the same way as for deployment.
+ * Bundles the program of an entry host in the same way as for deployment, but for
+ * the addresses of workers.
  * @param root root directory of the workspace.
  * @param breakage name of the breakage to apply, a key of `BREAKAGES`.
  * @returns `outfile`.
- * @throws if the source file no longer contains the text that the breakage replaces.
+ * @throws if a source file no longer contains a text to replace.
  */
 export async function buildProgram(root: string, outfile: string, breakage?: string): Promise<string> {
 	const {bundle} = await import(path.join(root, 'platform/bundle.mjs')) as Bundler;
-	await bundle(outfile, breakage === undefined ? [] : [createBreakagePlugin(root, breakage)]);
+	await bundle(outfile, [createReplacementPlugin(root, breakage === undefined ? INSTRUMENTATION : [...INSTRUMENTATION, BREAKAGES[breakage]!])]);
 	return outfile;
 }
 
-function createBreakagePlugin(root: string, name: string): Plugin {
-	const {file, from, to} = BREAKAGES[name]!;
-	const sourcePath = path.join(root, file);
-	const source = readFileSync(sourcePath, 'utf8');
-	if (!source.includes(from)) {
-		throw new Error(`${name}: ${file} does not contain the text to replace`);
+function createReplacementPlugin(root: string, replacements: readonly Replacement[]): Plugin {
+	const sources = new Map<string, string>();
+	for (const {file, from, to} of replacements) {
+		const sourcePath = path.join(root, file);
+		const source = sources.get(sourcePath) ?? readFileSync(sourcePath, 'utf8');
+		if (!source.includes(from)) {
+			throw new Error(`${file} does not contain the text to replace: ${from}`);
+		}
+
+		sources.set(sourcePath, source.replace(from, to));
 	}
 
 	return {
-		name: `break-${name}`,
+		name: 'replace',
 		setup({onLoad}) {
-			onLoad({filter: /\.ts$/}, ({path: loaded}) => loaded === sourcePath ? {contents: source.replace(from, to), loader: 'ts'} : undefined);
+			onLoad({filter: /\.ts$/}, ({path: loaded}) => {
+				const contents = sources.get(loaded);
+				return contents === undefined ? undefined : {contents, loader: 'ts'};
+			});
 		},
 	};
 }
--- a/packages/soak/src/environment.ts
+++ b/packages/soak/src/environment.ts
@@ -5,9 +5,11 @@
 import {
 	FakeStoreMode, FakeStore, FakeWorker, WorkerFault, callerAddress, createOperatorConfig, createIdempotentRoute,
 } from '@apricotwood/platform/standin';
+import {WORKER_IP_VARIABLE} from './build.js';
 import {HostProcess, STOP_TIMEOUT_MS} from './host.js';
 import {FaultKind} from './plan.js';
 import {Link, LinkState} from './proxy.js';
+import {WorkerLinks} from './worker-links.js';
 import {
 	createRecords, type ChangeNotice, type CrashingRequest, type Disturbance, type LimitPeriod, type SoakRecords,
 } from './records.js';
@@ -42,6 +44,9 @@
 const FIRST_NETWORK_OCTET = 20;
 /** Number of loopback networks. */
 const NETWORK_COUNT = 200;
+/** First third octet of the addresses of hosts, and of their links to workers. */
+const HOST_SUBNET = 0;
+const WORKER_LINK_SUBNET = 100;
 /** Number of host addresses per third octet. */
 const HOSTS_PER_SUBNET = 250;
 /** Port that a run binds on an address of its network to reserve the network. */
@@ -49,7 +54,7 @@
 
 /** Fake worker with its link and its entry in the store. */
 export class WorkerEndpoint {
-	readonly link: Link;
+	readonly links: WorkerLinks;
 	readonly worker: FakeWorker;
 	/** Worker that responds at the address of the link; another worker while the address is reused. */
 	servingWorker: FakeWorker;
@@ -60,16 +65,16 @@
 	/** Last state written to the store; `undefined` while the worker has no entry. */
 	#state: 'ready' | 'draining' | undefined;
 
-	/** @param onCrash called when the worker crashes. @returns a function that is called when it is back. */
-	constructor(readonly id: string, readonly service: string, readonly zone: string, private readonly store: FakeStore, onCrash: () => () => void) {
+	/** @param linkIps address of the links of each host. @param onCrash called when the worker crashes. @returns a function that is called when it is back. */
+	constructor(readonly id: string, readonly service: string, readonly zone: string, private readonly store: FakeStore, linkIps: readonly string[], onCrash: () => () => void) {
 		this.worker = new FakeWorker(id, service, zone);
 		this.worker.processingMs = WORKER_PROCESSING_MS;
 		this.worker.crashingUrl = CRASHING_PATH;
 		this.worker.crashDelayMs = CRASH_DELAY_MS;
 		this.worker.onCrash = () => {
 			const onRestart = onCrash();
-			const endFault = this.link.startFault(LinkState.Refusing);
-			this.link.resetConnections();
+			const endFault = this.links.startFault(LinkState.Refusing);
+			this.links.resetConnections();
 			return () => {
 				endFault();
 				this.registerNewIncarnation();
@@ -78,19 +83,19 @@
 		};
 
 		this.servingWorker = this.worker;
-		this.link = new Link(() => this.servingWorker.address);
+		this.links = new WorkerLinks(() => this.servingWorker.address, linkIps);
 	}
 
 	async start(): Promise<void> {
 		await this.worker.start();
-		await this.link.start();
+		await this.links.start();
 		this.register('ready');
 	}
 
 	/** Writes the worker's entry to the store. */
 	register(state: 'ready' | 'draining'): void {
 		this.#state = state;
-		this.store.putWorker(this.id, this.worker.createEntry(state, this.link.address, this.#incarnation));
+		this.store.putWorker(this.id, this.worker.createEntry(state, this.links.address, this.#incarnation));
 	}
 
 	unregister(): void {
@@ -114,7 +119,7 @@
 	}
 
 	async stop(): Promise<void> {
-		await this.link.stop();
+		await this.links.stop();
 		await this.worker.stop();
 	}
 }
@@ -139,18 +144,19 @@
 	async start(): Promise<void> {
 		await this.store.start();
 		this.#writeConfig();
+		const network = await reserveNetwork();
+		const ips = createHostIps(network, HOST_SUBNET, this.options.hostCount);
+		const linkIps = createHostIps(network, WORKER_LINK_SUBNET, this.options.hostCount);
 		for (const service of SERVICES) {
 			for (let index = 0; index < WORKERS_PER_SERVICE; index++) {
 				const zone = ZONES[index % ZONES.length]!;
-				this.workerEndpoints.push(new WorkerEndpoint(`${service}${index}-${zone}`, service, zone, this.store, () => this.#recordCrash(`${service}${index}-${zone}`)));
+				this.workerEndpoints.push(new WorkerEndpoint(`${service}${index}-${zone}`, service, zone, this.store, linkIps, () => this.#recordCrash(`${service}${index}-${zone}`)));
 			}
 		}
 
 		await Promise.all(this.workerEndpoints.map(async endpoint => endpoint.start()));
-		const network = await reserveNetwork();
-		const ips = Array.from({length: this.options.hostCount}, (_, index) => `127.${network}.${Math.floor(index / HOSTS_PER_SUBNET)}.${(index % HOSTS_PER_SUBNET) + 1}`);
 		for (const [index, ip] of ips.entries()) {
-			await this.#addHost(`host-${index}`, ip, ZONES[index % ZONES.length]!, ips.slice(0, 2)); // eslint-disable-line no-await-in-loop
+			await this.#addHost(`host-${index}`, ip, ZONES[index % ZONES.length]!, ips.slice(0, 2), linkIps[index]!); // eslint-disable-line no-await-in-loop
 		}
 
 		for (const host of this.hosts) {
@@ -213,6 +219,17 @@
 		return request;
 	}
 
+	/** Records that a host reaches no worker from now on. @returns a function that ends it. */
+	recordIsolation(host: string): () => void {
+		const isolation = {
+			kind: FaultKind.HostIsolated, subject: host, fromMs: Date.now(), untilMs: Number.POSITIVE_INFINITY,
+		};
+		this.records.isolations.push(isolation);
+		return () => {
+			isolation.untilMs = Date.now();
+		};
+	}
+
 	/** Records that a worker is down. @returns a function that ends it. */
 	#recordCrash(worker: string): () => void {
 		const disturbance = this.recordDisturbance(FaultKind.CrashingRequest, worker);
@@ -249,7 +266,7 @@
 	async clearFaults(): Promise<string[]> {
 		this.store.mode = FakeStoreMode.Healthy;
 		this.store.dropsWriteResponses = false;
-		for (const link of [...this.storeLinks.values(), ...this.callerLinks.values(), ...this.workerEndpoints.map(endpoint => endpoint.link)]) {
+		for (const link of [...this.storeLinks.values(), ...this.callerLinks.values(), ...this.workerEndpoints.map(endpoint => endpoint.links)]) {
 			link.clearFaults();
 		}
 
@@ -304,14 +321,14 @@
 		return unreadyHosts;
 	}
 
-	async #addHost(id: string, ip: string, zone: string, seeds: readonly string[]): Promise<void> {
+	async #addHost(id: string, ip: string, zone: string, seeds: readonly string[], workerLinkIp: string): Promise<void> {
 		const storeLink = await new Link(() => this.store.address).start();
 		const callerLink = await new Link(() => callerAddress(ip)).start();
 		this.storeLinks.set(id, storeLink);
 		this.callerLinks.set(callerAddress(ip), callerLink);
 		this.hosts.push(new HostProcess({
 			id, ip, zone, storeAddress: storeLink.address, seeds, regionByZone: REGIONS,
-		}, this.options.program, path.resolve(this.options.directory), exit => {
+		}, this.options.program, path.resolve(this.options.directory), {[WORKER_IP_VARIABLE]: workerLinkIp}, exit => {
 			this.records.exits.push(exit);
 		}));
 	}
@@ -322,6 +339,11 @@
 	}
 }
 
+/** Creates an address for each host. */
+function createHostIps(network: number, subnet: number, hostCount: number): string[] {
+	return Array.from({length: hostCount}, (_, index) => `127.${network}.${subnet + Math.floor(index / HOSTS_PER_SUBNET)}.${(index % HOSTS_PER_SUBNET) + 1}`);
+}
+
 /** Reserves a loopback network for this run. @returns its second octet. @throws if all networks are in use. */
 async function reserveNetwork(): Promise<number> {
 	for (let attempt = 0; attempt < NETWORK_COUNT; attempt++) {
--- a/packages/soak/src/fault-injection.ts
+++ b/packages/soak/src/fault-injection.ts
@@ -18,6 +18,8 @@
 /** Bounds of the limits that workers name, requests per second. */
 const MIN_RATE_LIMIT = 0.5;
 const MAX_RATE_LIMIT = 6;
+/** Variants of `FaultKind.HostIsolated` from which a whole zone is cut off, from 0 to 1. */
+const WHOLE_ZONE_FROM = 2 / 3;
 /** Longest time until what a restored store has lost is written again, ms. */
 const MAX_REWRITE_DELAY_MS = 1500;
 
@@ -47,7 +49,7 @@
 		disturbLink(environment, fault, environment.storeLinks.get(selectHost(environment, fault).options.id)!, selectHost(environment, fault).options.id),
 	[FaultKind.CallerLink]: async (environment, fault) =>
 		disturbLink(environment, fault, environment.callerLinks.get(selectHost(environment, fault).address)!, selectHost(environment, fault).options.id),
-	[FaultKind.WorkerLink]: async (environment, fault) => disturbLink(environment, fault, selectEndpoint(environment, fault).link, selectEndpoint(environment, fault).id),
+	[FaultKind.WorkerLink]: async (environment, fault) => disturbLink(environment, fault, selectEndpoint(environment, fault).links, selectEndpoint(environment, fault).id),
 	[FaultKind.StoreBusy]: async (environment, fault) => setStoreMode(environment, fault, FakeStoreMode.Unavailable),
 	[FaultKind.StoreSilent]: async (environment, fault) => setStoreMode(environment, fault, FakeStoreMode.Unresponsive),
 	[FaultKind.StoreLosesAnswers]: async (environment, fault) => withDisturbance(environment, fault, STORE_SUBJECT, async () => {
@@ -74,6 +76,7 @@
 	[FaultKind.WorkerGone]: async (environment, fault) => withdrawWorker(environment, fault, 'gone', endpoint => {
 		endpoint.unregister();
 	}),
+	[FaultKind.HostIsolated]: isolateHosts,
 	async [FaultKind.CrashingRequest](environment, fault) {
 		const request = environment.recordCrashingRequest();
 		await pause(fault.forMs);
@@ -141,18 +144,44 @@
 	endpoint.isLeaving = false;
 }
 
+/** Cuts one host, or in a third of the cases all of its zone, off from the workers. */
+async function isolateHosts(environment: SoakEnvironment, fault: Fault): Promise<void> {
+	const {hosts, workerEndpoints} = environment;
+	const selected = selectHost(environment, fault);
+	const isZone = fault.how > WHOLE_ZONE_FROM;
+	const doesReset = fault.how * 2 % 1 < 0.5;
+	const ends: Array<() => void> = [];
+	for (const [index, host] of hosts.entries()) {
+		if (host !== selected && !(isZone && host.options.zone === selected.options.zone)) {
+			continue;
+		}
+
+		ends.push(environment.recordIsolation(host.options.id));
+		for (const {links} of workerEndpoints) {
+			const link = links.get(index);
+			ends.push(link.startFault(LinkState.Refusing));
+			if (doesReset) {
+				link.resetConnections();
+			}
+		}
+	}
+
+	await pause(fault.forMs);
+	for (const end of ends) {
+		end();
+	}
+}
+
 /** Makes a worker of another service respond at the worker's address for the duration of the fault. */
 async function reuseAddress(environment: SoakEnvironment, fault: Fault): Promise<void> {
 	const endpoint = selectEndpoint(environment, fault);
 	const otherEndpoint = environment.workerEndpoints.find(({service}) => service !== endpoint.service)!;
 	await withDisturbance(environment, fault, endpoint.id, async () => {
-		endpoint.link.setState(LinkState.Reset);
 		endpoint.servingWorker = otherEndpoint.worker;
-		endpoint.link.setState(LinkState.Healthy);
+		endpoint.links.resetConnections();
 		await pause(fault.forMs);
-		endpoint.link.setState(LinkState.Reset);
 		endpoint.servingWorker = endpoint.worker;
-		endpoint.link.setState(LinkState.Healthy);
+		endpoint.links.resetConnections();
 	});
 }
 
@@ -179,7 +208,7 @@
 	worker.rateLimit = undefined;
 }
 
-async function disturbLink(environment: SoakEnvironment, fault: Fault, link: Link, subject: string): Promise<void> {
+async function disturbLink(environment: SoakEnvironment, fault: Fault, link: Pick<Link, 'startFault'>, subject: string): Promise<void> {
 	await withDisturbance(environment, fault, subject, async () => {
 		const endFault = link.startFault(pick(LINK_FAULTS, fault.how));
 		await pause(fault.forMs);
--- a/packages/soak/src/host.ts
+++ b/packages/soak/src/host.ts
@@ -47,6 +47,8 @@
 		readonly options: TestHostOptions,
 		private readonly program: string,
 		private readonly directory: string,
+		/** Further environment variables of the process. */
+		private readonly env: Readonly<Record<string, string>>,
 		private readonly onExit: (exit: HostExit) => void,
 	) {
 		mkdirSync(directory, {recursive: true});
@@ -79,7 +81,7 @@
 		writeFileSync(settingsPath, JSON.stringify(createHostSettings(this.options)));
 		const log = createWriteStream(path.join(this.directory, `${id}.log`), {flags: 'a'});
 		const child = spawn(process.execPath, ['--max-old-space-size=160', '--max-semi-space-size=1', this.program], {
-			env: {...process.env, APRICOTWOOD_SETTINGS: settingsPath}, stdio: ['ignore', 'pipe', 'pipe'],
+			env: {...process.env, ...this.env, APRICOTWOOD_SETTINGS: settingsPath}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		child.stdout.pipe(log, {end: false});
 		child.stderr.pipe(log, {end: false});
--- /dev/null
+++ b/packages/soak/src/isolation.ts
@@ -0,0 +1,34 @@
+import {
+	CallEnd, isUndisturbed, type Call, type Disturbance, type SoakRecords,
+} from './records.js';
+import type {Violation} from './violation.js';
+
+/** Time after a host has lost its path to the workers from which its calls count, ms. */
+const LEARNING_MS = 3000;
+/** Least ratio of calls that are served at isolated hosts, compared with the others. */
+const MIN_SERVED_RATIO = 2 / 3;
+/** Failed calls that are allowed in any case: this number, and a ratio of all calls. */
+const ALLOWED_FAILURES = 10;
+const ALLOWED_FAILURE_RATIO = 0.02;
+
+/** Calls at hosts that reach no worker are served nearly as often as those at the others. */
+export function checkIsolation(records: SoakRecords): Violation[] {
+	return records.isolations.flatMap(isolation => checkPeriod(records, isolation));
+}
+
+function checkPeriod(records: SoakRecords, {subject, fromMs, untilMs}: Disturbance): Violation[] {
+	const counted = records.calls.filter(({host, sentAtMs, endAtMs, end}) => end !== CallEnd.GaveUp && sentAtMs > fromMs + LEARNING_MS && endAtMs < untilMs
+		&& isUndisturbed(records, fromMs, endAtMs, [host]));
+	const isolated = counted.filter(({host}) => host === subject);
+	const others = counted.filter(({host}) => !records.isolations.some(isolation => isolation.subject === host && isolation.fromMs < untilMs && isolation.untilMs > fromMs));
+	const failures = isolated.length - countServed(isolated);
+	const allowed = ALLOWED_FAILURES + (ALLOWED_FAILURE_RATIO * counted.length);
+	const isWorse = countServed(isolated) * others.length < MIN_SERVED_RATIO * countServed(others) * isolated.length;
+	return isWorse && failures > allowed
+		? [{promise: 'isolated', subject, message: `served ${countServed(isolated)} of ${isolated.length} calls while it reached no worker, the others ${countServed(others)} of ${others.length}`}]
+		: [];
+}
+
+function countServed(calls: readonly Call[]): number {
+	return calls.filter(({end, status}) => end === CallEnd.Answered && status === 200).length;
+}
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -10,6 +10,8 @@
 	HostPause = 'host-pause',
 	/** SIGHUP. */
 	HostReload = 'host-reload',
+	/** A host, or all of a zone, cannot open connections to any worker; open ones are reset or live on. */
+	HostIsolated = 'host-isolated',
 	/** Network fault between one host and the store. */
 	StoreLink = 'store-link',
 	/** The store responds with 503. */
@@ -60,7 +62,7 @@
 };
 
 /** Groups of kinds that were added later. Each is drawn after all before it, so that a seed still gives the faults that it gave before. */
-const LATER_KINDS = [[FaultKind.StoreRestore, FaultKind.WorkerEndless], [FaultKind.WorkerLimit], [FaultKind.CrashingRequest]];
+const LATER_KINDS = [[FaultKind.StoreRestore, FaultKind.WorkerEndless], [FaultKind.WorkerLimit], [FaultKind.CrashingRequest], [FaultKind.HostIsolated]];
 /** Kinds to choose from; a repeated kind is chosen more often. Worker faults have the highest weight because they have the most variants. */
 const WEIGHTED_KINDS = [...Object.values(FaultKind).filter(kind => !LATER_KINDS.flat().includes(kind)), FaultKind.WorkerFails, FaultKind.WorkerFails, FaultKind.WorkerDrain, FaultKind.WorkerGone, FaultKind.ConfigChange];
 /** Mean time between the starts of consecutive faults, ms. */
@@ -72,7 +74,7 @@
 const MAX_DURATION_MS = 4000;
 /** Additional duration of faults to which hosts must react within a time limit, ms. Makes the fault last longer than the limit, so that a late reaction is visible. */
 const EXTRA_DURATION_MS: Partial<Record<FaultKind, number>> = {
-	[FaultKind.WorkerDrain]: 3000, [FaultKind.WorkerGone]: 3000, [FaultKind.Evacuation]: 5500, [FaultKind.WorkerLimit]: 8000, [FaultKind.CrashingRequest]: 6000,
+	[FaultKind.WorkerDrain]: 3000, [FaultKind.WorkerGone]: 3000, [FaultKind.Evacuation]: 5500, [FaultKind.WorkerLimit]: 8000, [FaultKind.CrashingRequest]: 6000, [FaultKind.HostIsolated]: 5000,
 };
 /** Probability that a fault keeps the kind of the previous one without choosing again. */
 const REPEAT_PROBABILITY = 0.25;
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -1,5 +1,6 @@
 import {createSignature} from '@apricotwood/platform/standin';
 import {checkCrashes} from './crashes.js';
+import {checkIsolation} from './isolation.js';
 import {FaultKind} from './plan.js';
 import {checkRateLimits} from './rate-limits.js';
 import {
@@ -38,7 +39,7 @@
 
 /** Promises with a time limit, by name. They are checked only where no fault had an influence. */
 export const TIMED_PROMISES = {
-	drain: checkDrain, gone: checkGone, limit: checkRateLimits, crash: checkCrashes, config: checkConfig, stop: checkStops, late: checkLate, recover: checkRecovery,
+	drain: checkDrain, gone: checkGone, limit: checkRateLimits, crash: checkCrashes, isolated: checkIsolation, config: checkConfig, stop: checkStops, late: checkLate, recover: checkRecovery,
 } satisfies Readonly<Record<string, PromiseCheck>>;
 
 /** Checks some promises against the observations of a run. */
--- a/packages/soak/src/proxy.ts
+++ b/packages/soak/src/proxy.ts
@@ -1,9 +1,8 @@
 import type {Buffer} from 'node:buffer';
 import {
-	connect, createServer, type Server, type Socket,
+	connect, createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import {resetSocket, wasResetAtEnd} from '@apricotwood/entry';
-import {addressOf, listen} from '@apricotwood/platform/standin';
 
 /** How a link treats data and connections. */
 export enum LinkState {
@@ -39,6 +38,7 @@
 	});
 
 	#state = LinkState.Healthy;
+	#ip = '';
 	#port = 0;
 	/** Faults that have not ended, in the order of their start; the last one determines the state. */
 	#faults: Array<{readonly state: LinkState}> = [];
@@ -46,9 +46,13 @@
 	/** @param getTarget returns the `IP:port` to connect to; called for each connection. */
 	constructor(private readonly getTarget: () => string) {}
 
+	get port(): number {
+		return this.#port;
+	}
+
 	/** `IP:port` that clients connect to. */
 	get address(): string {
-		return `127.0.0.1:${this.#port}`;
+		return `${this.#ip}:${this.#port}`;
 	}
 
 	/** Starts a fault. Faults may overlap. @returns a function that ends it. */
@@ -73,7 +77,7 @@
 		if (state === LinkState.Refusing) {
 			this.#server.close();
 		} else if (!this.#server.listening) {
-			this.#server.listen(this.#port, '127.0.0.1');
+			this.#server.listen(this.#port, this.#ip);
 		}
 
 		if (state === LinkState.Reset) {
@@ -83,9 +87,14 @@
 		}
 	}
 
-	async start(): Promise<this> {
-		await listen(this.#server);
-		this.#port = Number(addressOf(this.#server).split(':')[1]);
+	/** @param port port to listen on; 0 for a free one. */
+	async start(ip = '127.0.0.1', port = 0): Promise<this> {
+		await new Promise<void>((resolve, reject) => {
+			this.#server.once('error', reject);
+			this.#server.listen(port, ip, resolve);
+		});
+		this.#ip = ip;
+		this.#port = (this.#server.address() as AddressInfo).port;
 		return this;
 	}
 
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -107,6 +107,8 @@
 	readonly arrivals: Arrival[];
 	readonly limits: LimitPeriod[];
 	readonly crashingRequests: CrashingRequest[];
+	/** Periods in which a host reached no worker. Other promises hold for it all the same. */
+	readonly isolations: Disturbance[];
 	readonly exits: HostExit[];
 	readonly notices: ChangeNotice[];
 	readonly disturbances: Disturbance[];
@@ -119,7 +121,7 @@
 /** Creates records without observations. */
 export function createRecords(): SoakRecords {
 	return {
-		calls: [], runs: [], arrivals: [], limits: [], crashingRequests: [], exits: [], notices: [], disturbances: [], stops: [], calmFromMs: Number.POSITIVE_INFINITY,
+		calls: [], runs: [], arrivals: [], limits: [], crashingRequests: [], isolations: [], exits: [], notices: [], disturbances: [], stops: [], calmFromMs: Number.POSITIVE_INFINITY,
 	};
 }
 
--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -176,6 +176,29 @@
 	assert.deepEqual(findBrokenPromises({...records, calls: [...calls, {...refused, url}]}), []);
 });
 
+test('promises: reports a host that reaches no worker and serves its callers far worse than the others', () => {
+	const createCalls = (host: string, served: number) => Array.from({length: 40}, (_, index) => createCall({
+		id: `${host}-${index}`, host, kind: CallKind.Read, status: index < served ? 200 : 503, sentAtMs: 13_500 + (index * 50), endAtMs: 13_600 + (index * 50),
+	}));
+	const createRecordsOf = (served: number) => {
+		const calls = [...createCalls('h1', served), ...createCalls('h2', 40)];
+		return {
+			calls, runs: calls.filter(({status}) => status === 200).map(({id}) => createRun({id})), isolations: [{
+				kind: FaultKind.HostIsolated, subject: 'h1', fromMs: 10_000, untilMs: 20_000,
+			}],
+		};
+	};
+
+	assert.deepEqual(findBrokenPromises(createRecordsOf(20)), ['isolated']);
+	assert.deepEqual(findBrokenPromises(createRecordsOf(30)), []);
+	const [isolation] = createRecordsOf(20).isolations;
+	assert.deepEqual(findBrokenPromises({...createRecordsOf(20), isolations: [{...isolation!, fromMs: 12_500}]}), []);
+	const disturbances = [{
+		kind: FaultKind.HostPause, subject: 'h1', fromMs: 11_000, untilMs: 11_500,
+	}];
+	assert.deepEqual(findBrokenPromises({...createRecordsOf(20), disturbances}), []);
+});
+
 test('breakages: the text that each replaces stands in its source file once', () => {
 	for (const [name, {file, from}] of Object.entries(BREAKAGES)) {
 		const source = readFileSync(new URL(`../../${file}`, import.meta.url), 'utf8');
