--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -4,7 +4,7 @@
 import {FaultKind} from './plan.js';
 import {checkRateLimits} from './rate-limits.js';
 import {
-	CallEnd, CallKind, isUndisturbed, type ChangeNotice, type SoakRecords,
+	CallEnd, CallKind, findMaxLagMs, isUndisturbed, type ChangeNotice, type SoakRecords,
 } from './records.js';
 import type {Violation} from './violation.js';
 
@@ -135,7 +135,7 @@
 	for (const {id, worker, atMs} of records.arrivals) {
 		const call = abandonedCalls.get(id);
 		if (call && atMs > call.endAtMs + DEPARTURE_LIMIT_MS && isUndisturbed(records, call.sentAtMs, atMs, [call.host, worker])) {
-			violations.push({promise: 'gone', subject: id, message: `request reached ${worker} ${atMs - call.endAtMs} ms after its caller had left ${call.host}`});
+			violations.push({promise: 'gone', subject: id, message: `request reached ${worker} ${atMs - call.endAtMs} ms after its caller had left ${call.host}; the soak itself lagged up to ${findMaxLagMs(records, call.sentAtMs, atMs)} ms`});
 		}
 	}
 
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -99,6 +99,13 @@
 	readonly atMs: number;
 };
 
+/** Time by which the event loop of the soak itself was late; callers and workers run in it, so what they record is late by as much. */
+export type Lag = {
+	/** Unix ms. */
+	readonly atMs: number;
+	readonly lagMs: number;
+};
+
 /** Observations of one run, taken outside the hosts. */
 export type SoakRecords = {
 	readonly calls: Call[];
@@ -109,6 +116,7 @@
 	readonly crashingRequests: CrashingRequest[];
 	/** Periods in which a host reached no worker. Other promises hold for it all the same. */
 	readonly isolations: Disturbance[];
+	readonly lags: Lag[];
 	readonly exits: HostExit[];
 	readonly notices: ChangeNotice[];
 	readonly disturbances: Disturbance[];
@@ -121,10 +129,15 @@
 /** Creates records without observations. */
 export function createRecords(): SoakRecords {
 	return {
-		calls: [], runs: [], arrivals: [], limits: [], crashingRequests: [], isolations: [], exits: [], notices: [], disturbances: [], stops: [], calmFromMs: Number.POSITIVE_INFINITY,
+		calls: [], runs: [], arrivals: [], limits: [], crashingRequests: [], isolations: [], lags: [], exits: [], notices: [], disturbances: [], stops: [], calmFromMs: Number.POSITIVE_INFINITY,
 	};
 }
 
+/** Longest lag of the soak itself in a period, ms. */
+export function findMaxLagMs({lags}: SoakRecords, fromMs: number, untilMs: number): number {
+	return Math.max(0, ...lags.filter(({atMs, lagMs}) => atMs >= fromMs && atMs - lagMs <= untilMs).map(({lagMs}) => lagMs));
+}
+
 /** Time after the end of a disturbance from which time limits apply again, ms. */
 const SETTLING_MS = 3000;
 
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -30,6 +30,26 @@
 /** Time after recovery in which calls are observed without faults, ms. */
 const CALM_MS = 2500;
 
+/** Interval at which the lag of the event loop is sampled, and the shortest lag that is recorded, ms. */
+const LAG_SAMPLE_MS = 20;
+const MIN_LAG_MS = 50;
+
+/** Records lags of this process's event loop. @returns a function that ends it. */
+function sampleLag({lags}: SoakRecords): () => void {
+	let dueAtMs = Date.now() + LAG_SAMPLE_MS;
+	const timer = setInterval(() => {
+		const atMs = Date.now();
+		if (atMs - dueAtMs >= MIN_LAG_MS) {
+			lags.push({atMs, lagMs: atMs - dueAtMs});
+		}
+
+		dueAtMs = atMs + LAG_SAMPLE_MS;
+	}, LAG_SAMPLE_MS);
+	return () => {
+		clearInterval(timer);
+	};
+}
+
 /**
  * Runs host processes, injects the generated faults and checks the promises against what callers and workers observed.
  * @throws if the hosts do not become ready at the start.
@@ -39,9 +59,11 @@
 	const environment = new SoakEnvironment(options);
 	const {records} = environment;
 	const violations: Violation[] = [];
+	let stopLagSampling = () => {};
 	try {
 		await environment.start();
 		const callers = new Callers(environment, random);
+		stopLagSampling = sampleLag(records);
 		callers.start();
 		const startMs = Date.now();
 		await Promise.all(plan.map(async fault => {
@@ -55,6 +77,7 @@
 		await callers.stop();
 		violations.push(...unreadyHosts.map(subject => ({promise: 'recover', subject, message: 'did not become ready after the faults were cleared'})));
 	} finally {
+		stopLagSampling();
 		await environment.stop();
 	}
 
