--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -1,11 +1,10 @@
-import process from 'node:process';
 import {
 	sleep, type Clock, type Random,
 } from '@apricotwood/clock';
 import {hashText} from '@apricotwood/routing';
 import {
-	AttemptOutcome, CrashTracker, WarmupLimiter, RoundTripTimes, LoadTracker, Placer, RateLimitTracker, ReachabilityTracker, ReportInterval, RetryBudget, TrafficSplitter,
-	ServiceTimeEstimator, WaitingRequests, ObjectCacheModel, WorkerHealthTracker, WorkerRateLimiter, type RetryBudgetOptions, type SendingHosts,
+	CrashTracker, WarmupLimiter, LoadTracker, Placer, RateLimitTracker, ReportInterval, RetryBudget, TrafficSplitter,
+	ServiceTimeEstimator, WaitingRequests, ObjectCacheModel, WorkerRateLimiter, type RetryBudgetOptions,
 } from '@apricotwood/steering';
 import {Supervisor} from '@apricotwood/supervisor';
 import type {Log, Metrics} from '@apricotwood/telemetry';
@@ -28,13 +27,13 @@
 import type {HostEntry, SteeringSource} from '../source.js';
 import {SourcePoller} from '../state/source-poller.js';
 import {ReplicatedState} from '../state/replicated-state.js';
-import {CrashDetector} from '../upstream/crash-detector.js';
 import {createTcpConnector, type Connector} from '../upstream/connector.js';
-import {HealthChecker} from '../upstream/health-checker.js';
 import {ConnectionPool, computeMaxIdleConnections} from '../upstream/pool.js';
-import {ReachabilityProber} from '../upstream/reachability-prober.js';
+import {HostDirectory} from './directory.js';
 import {HostEvent, HostLifecycle, HostPhase} from './phase.js';
 import {Registration} from './registration.js';
+import {StateReporter} from './state-reporter.js';
+import {WorkerAccess} from './worker-access.js';
 
 /** Settings of an entry host. */
 export type EntrySettings = {
@@ -72,12 +71,6 @@
 const SHUTDOWN_MARGIN_MS = 700;
 /** Interval at which the end of in-flight requests is polled while draining, ms. */
 const DRAIN_POLL_INTERVAL_MS = 25;
-/** Interval between two log lines with the state of this host, ms. */
-const REPORT_INTERVAL_MS = 5000;
-
-function toMb(bytes: number): number {
-	return Math.round(bytes / 1024 / 1024);
-}
 
 /** Entry host: accepts callers' requests and proxies them to the workers, which all hosts share. */
 export class EntryHost {
@@ -87,15 +80,13 @@
 	readonly #ingress: Ingress;
 	readonly #heartbeats: HeartbeatService;
 	readonly #sourcePoller: SourcePoller;
-	readonly #healthChecker: HealthChecker;
-	readonly #reachability = new ReachabilityTracker();
+	readonly #workerAccess: WorkerAccess;
+	readonly #directory: HostDirectory;
 	readonly #isolation: IsolationReports;
 	readonly #peerPool: ConnectionPool;
-	readonly #prober: ReachabilityProber;
 	readonly #registration: Registration;
+	readonly #stateReporter: StateReporter;
 	readonly #catchUp = new CatchUpClient();
-	readonly #pool: ConnectionPool;
-	readonly #workerHealth = new WorkerHealthTracker();
 	readonly #rateLimits = new RateLimitTracker();
 	readonly #rateLimiter: WorkerRateLimiter;
 	readonly #crashes = new CrashTracker();
@@ -109,35 +100,18 @@
 	constructor(private readonly deps: EntryDeps) {
 		const {settings, clock, random, log, metrics, source, dialect} = deps;
 		const {self} = settings;
-		const roundTrips = new RoundTripTimes();
 		this.members = new MemberList(self);
 		this.#isolation = new IsolationReports(this.members, clock);
 		this.#peerPool = new ConnectionPool({
 			clock, metrics, connector: createTcpConnector(), onConnect() {}, onConnectFailure() {},
 		});
-		const connector = deps.connector ?? createTcpConnector();
-		this.#pool = new ConnectionPool({
-			clock,
-			metrics,
-			connector,
-			onConnect: (worker, durationMs) => {
-				this.#onWorkersReached(this.#reachability.recordConnect(clock.monotonic()));
-				const region = this.state.fleet.get(worker)?.region;
-				if (region !== undefined) {
-					roundTrips.record(region, durationMs);
-				}
-			},
-			onConnectFailure: worker => {
-				this.#reachability.recordFailure(hashText(worker));
-			},
-		});
 		this.state = new ReplicatedState(clock, log, {
 			onWorkerStart: id => {
 				this.#resetWorkerStatistics(id);
 			},
 			onWorkerRemoved: id => {
 				this.#resetWorkerStatistics(id);
-				this.#pool.removeWorker(id);
+				this.#workerAccess.pool.removeWorker(id);
 			},
 			onUpdateApplied: () => {
 				this.#onStateChange();
@@ -148,13 +122,33 @@
 		});
 		const load = new LoadTracker();
 		const countHosts = () => this.members.count;
-		this.#rateLimiter = new WorkerRateLimiter(this.members.hash, this.#rateLimits, nowMs => this.#findSendingHosts(nowMs));
+		this.#rateLimiter = new WorkerRateLimiter(this.members.hash, this.#rateLimits, nowMs => this.#directory.findSendingHosts(nowMs));
+		this.#workerAccess = new WorkerAccess({
+			clock,
+			random,
+			log,
+			metrics,
+			dialect,
+			state: this.state,
+			rateLimiter: this.#rateLimiter,
+			connector: deps.connector ?? createTcpConnector(),
+			onCrash(worker, fingerprints) {
+				crashGuard.recordCrash(worker, fingerprints);
+			},
+			onIsolationChange: isIsolated => {
+				this.#onIsolationChange(isIsolated);
+			},
+		});
+		const {reachability, roundTrips, health} = this.#workerAccess;
+		this.#directory = new HostDirectory({
+			clock, members: this.members, isolation: this.#isolation, reachability, isReady: () => this.isReady,
+		});
 		const placer = new Placer({region: self.region}, {
 			fleet: this.state.fleet,
 			load,
 			objectCaches: this.#objectCaches,
 			serviceTimes: this.#serviceTimes,
-			health: this.#workerHealth,
+			health,
 			roundTrips,
 			warmupLimiter: new WarmupLimiter(hashText(self.id)),
 			rateLimiter: this.#rateLimiter,
@@ -190,31 +184,19 @@
 			metrics,
 			dialect,
 			placer,
-			pool: this.#pool,
+			pool: this.#workerAccess.pool,
 			peerPool: this.#peerPool,
 			peerRelay: new PeerRelay({
-				clock, random, reachability: this.#reachability, isolation: this.#isolation, region: self.region,
+				clock, random, reachability, isolation: this.#isolation, region: self.region,
 			}),
 			hostId: self.id,
 			load,
 			objectCaches: this.#objectCaches,
 			serviceTimes: this.#serviceTimes,
-			workerHealth: this.#workerHealth,
+			workerHealth: health,
 			rateLimits: this.#rateLimits,
-			reachability: this.#reachability,
-			crashDetector: new CrashDetector({
-				connector,
-				log,
-				onCrash: (worker, fingerprints) => {
-					// The path to the worker may have been cut instead.
-					if (this.#reachability.isDoubtful) {
-						return;
-					}
-
-					this.#workerHealth.recordAttempt(worker.hash, AttemptOutcome.Unreachable, clock.monotonic());
-					crashGuard.recordCrash(worker, fingerprints);
-				},
-			}),
+			reachability,
+			crashDetector: this.#workerAccess.crashDetector,
 			crashGuard,
 			roundTrips,
 			retryBudget: new RetryBudget(settings.retryBudget),
@@ -277,19 +259,19 @@
 				this.#heartbeats.send();
 			},
 		});
-		this.#healthChecker = new HealthChecker({
-			clock, log, metrics, dialect, state: this.state, workerHealth: this.#workerHealth, rateLimiter: this.#rateLimiter, reachability: this.#reachability, connector,
-		});
-		this.#prober = new ReachabilityProber({
+		this.#stateReporter = new StateReporter({
 			clock,
-			random,
-			metrics,
-			fleet: this.state.fleet,
-			reachability: this.#reachability,
-			connector,
-			onChange: isIsolated => {
-				this.#onIsolationChange(isIsolated);
-			},
+			log,
+			members: this.members,
+			state: this.state,
+			sourcePoller: this.#sourcePoller,
+			waiting: this.#waiting,
+			running: this.#running,
+			waitingRetrier: this.#waitingRetrier,
+			reachability,
+			crashes: this.#crashes,
+			objectCaches: this.#objectCaches,
+			serviceTimes: this.#serviceTimes,
 		});
 	}
 
@@ -298,25 +280,9 @@
 		return this.lifecycle.phase === HostPhase.Ready;
 	}
 
-	/**
-	 * Selects ready entry hosts for a caller: those of its zone if there are at
-	 * least two, else those of its region, else all. If no host is known to be
-	 * ready, this host is returned in any phase. Hosts that reach no worker do not
-	 * count as ready.
-	 */
+	/** Selects entry hosts for a caller, see `HostDirectory`. */
 	findHosts(zone: string, region: string): HostEntry[] {
-		const ready = this.#isolation.listServing(this.deps.clock.monotonic()).map(({entry}) => entry);
-		if ((this.isReady && !this.#reachability.isIsolated) || ready.length === 0) {
-			ready.push(this.deps.settings.self);
-		}
-
-		const sameZone = ready.filter(host => host.zone === zone);
-		if (sameZone.length > 1) {
-			return sameZone;
-		}
-
-		const sameRegion = ready.filter(host => host.region === region);
-		return sameRegion.length > 0 ? sameRegion : ready;
+		return this.#directory.findHosts(zone, region);
 	}
 
 	/** Runs until the signal is aborted and shutdown is complete. @throws if a supervised task fails permanently. */
@@ -338,16 +304,16 @@
 			{name: 'catch-up', run: async inner => this.#servePeers(inner)},
 			{name: 'join', run: async inner => this.#registration.run(inner)},
 			{name: 'follow', run: async inner => this.#sourcePoller.run(inner)},
-			{name: 'checks', run: async inner => this.#healthChecker.run(inner)},
-			{name: 'reach', run: async inner => this.#prober.run(inner)},
-			{name: 'report', run: async inner => this.#runReport(inner)},
+			{name: 'checks', run: async inner => this.#workerAccess.runHealthChecks(inner)},
+			{name: 'reach', run: async inner => this.#workerAccess.runProbes(inner)},
+			{name: 'report', run: async inner => this.#stateReporter.run(inner)},
 			{name: 'pump', run: async inner => this.#waitingRetrier.run(inner)},
 		], stop.signal);
 		const shutdown = this.#shutDownOnAbort(signal);
 		await Promise.race([tasks, shutdown]);
 		stop.abort();
 		await tasks;
-		this.#pool.close();
+		this.#workerAccess.pool.close();
 		this.#peerPool.close();
 		await this.#catchUp.close();
 	}
@@ -394,39 +360,6 @@
 		log.info({event: 'left', running: this.#ingress.running, tookMs: Math.round(clock.monotonic() - startAtMs)});
 	}
 
-	/**
-	 * Logs periodically what this host assumes about the cluster (event `beliefs`),
-	 * for analysis of incidents. Field `reads`: whether this host is the one that
-	 * reads the source; `memory`: learned capacity of the workers' object caches by
-	 * service, in objects; `lagMs`: longest lag of the event loop since the last
-	 * line; `rssMb` to `externalMb`: memory use of this process.
-	 */
-	async #runReport(signal: AbortSignal): Promise<void> {
-		const {clock, log} = this.deps;
-		while (!signal.aborted) {
-			await sleep(clock, REPORT_INTERVAL_MS, signal); // eslint-disable-line no-await-in-loop
-			const nowMs = clock.monotonic();
-			const {rss, heapUsed, external} = process.memoryUsage();
-			log.info({
-				event: 'beliefs',
-				hosts: this.members.count,
-				ready: this.members.ready(nowMs).map(({entry}) => entry.id),
-				reads: this.members.rank(nowMs, this.#sourcePoller.isFailing) === 0,
-				ageMs: Math.round(this.state.ageMs()),
-				epoch: this.state.epoch,
-				waiting: this.#waiting.size,
-				running: this.#running.size,
-				isIsolated: this.#reachability.isIsolated,
-				lagMs: Math.round(this.#waitingRetrier.takeMaxLagMs()),
-				memory: this.#objectCaches.listCapacities(),
-				times: this.#serviceTimes.snapshot(),
-				rssMb: toMb(rss),
-				heapMb: toMb(heapUsed),
-				externalMb: toMb(external),
-			});
-		}
-	}
-
 	#onStateChange(): void {
 		const {table} = this.state;
 		if (!table) {
@@ -441,41 +374,18 @@
 		}
 	}
 
-	#onWorkersReached(hasIsolationEnded: boolean): void {
-		if (hasIsolationEnded) {
-			this.#onIsolationChange(false);
-		}
-	}
-
-	/** Called when this host has lost its path to all workers, or reaches one again. */
+	/** Tells the other hosts that this one has lost its path to all workers, or reaches one again. */
 	#onIsolationChange(isIsolated: boolean): void {
-		this.deps.log.warn({event: 'isolation', isIsolated});
 		this.#isolation.recordOwn(isIsolated);
 		this.#heartbeats.sendReports();
-		if (isIsolated) {
-			// Connections that were opened before may be silent.
-			this.#pool.close();
-		} else {
-			this.#workerHealth.forgetUnreachable();
-			this.#waitingRetrier.schedule();
-		}
-	}
-
-	/** Hosts among which the rate limits of workers are divided: those that callers are sent to. */
-	#findSendingHosts(nowMs: number): SendingHosts {
-		const ready = this.#isolation.listServing(nowMs).map(({hash, entry: {region}}) => ({hash, region}));
-		if (this.isReady && !this.#reachability.isIsolated) {
-			ready.push({hash: this.members.hash, region: this.members.self.region});
-		}
-
-		return {ready, recentCount: ready.length + this.members.countSilent(nowMs)};
+		this.#waitingRetrier.schedule();
 	}
 
 	/** Discards statistics of an earlier incarnation of a worker; they do not apply after its restart. */
 	#resetWorkerStatistics(id: string): void {
 		const hash = hashText(id);
 		this.#objectCaches.reset(hash);
-		this.#workerHealth.reset(hash);
+		this.#workerAccess.health.reset(hash);
 		this.#rateLimits.reset(hash);
 		this.#rateLimiter.reset(hash);
 		this.#serviceTimes.reset(hash);
--- /dev/null
+++ b/packages/entry/src/host/worker-access.ts
@@ -0,0 +1,112 @@
+import type {Clock, Random} from '@apricotwood/clock';
+import {hashText} from '@apricotwood/routing';
+import {
+	AttemptOutcome, ReachabilityTracker, RoundTripTimes, WorkerHealthTracker, type Worker, type WorkerRateLimiter,
+} from '@apricotwood/steering';
+import type {Log, Metrics} from '@apricotwood/telemetry';
+import type {Dialect} from '../dialect.js';
+import type {ReplicatedState} from '../state/replicated-state.js';
+import type {Connector} from '../upstream/connector.js';
+import {CrashDetector} from '../upstream/crash-detector.js';
+import {HealthChecker} from '../upstream/health-checker.js';
+import {ConnectionPool} from '../upstream/pool.js';
+import {ReachabilityProber} from '../upstream/reachability-prober.js';
+
+/** Dependencies of `WorkerAccess`. */
+export type WorkerAccessDeps = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Log;
+	readonly metrics: Metrics;
+	readonly dialect: Dialect;
+	readonly state: ReplicatedState;
+	readonly rateLimiter: WorkerRateLimiter;
+	readonly connector: Connector;
+	/** Called when a worker has crashed. @param fingerprints requests that ran there. */
+	readonly onCrash: (worker: Worker, fingerprints: readonly string[]) => void;
+	/** Called when this host has lost its path to all workers, or reaches one again. */
+	readonly onIsolationChange: (isIsolated: boolean) => void;
+};
+
+/** The connections of a host to the workers, and what it learns from them: whether workers are healthy, have crashed, or cannot be reached from here at all. */
+export class WorkerAccess {
+	readonly health = new WorkerHealthTracker();
+	readonly reachability = new ReachabilityTracker();
+	readonly roundTrips = new RoundTripTimes();
+	readonly pool: ConnectionPool;
+	readonly crashDetector: CrashDetector;
+	readonly #healthChecker: HealthChecker;
+	readonly #prober: ReachabilityProber;
+
+	constructor(private readonly deps: WorkerAccessDeps) {
+		const {state, log, connector} = deps;
+		this.pool = new ConnectionPool({
+			...deps,
+			onConnect: (worker, durationMs) => {
+				this.#recordConnect(worker, durationMs);
+			},
+			onConnectFailure: worker => {
+				this.reachability.recordFailure(hashText(worker));
+			},
+		});
+		this.crashDetector = new CrashDetector({
+			log,
+			connector,
+			onCrash: (worker, fingerprints) => {
+				this.#handleCrash(worker, fingerprints);
+			},
+		});
+		this.#healthChecker = new HealthChecker({...deps, workerHealth: this.health, reachability: this.reachability});
+		this.#prober = new ReachabilityProber({
+			...deps,
+			fleet: state.fleet,
+			reachability: this.reachability,
+			onChange: isIsolated => {
+				this.#handleIsolationChange(isIsolated);
+			},
+		});
+	}
+
+	/** Checks the health of workers until the signal is aborted. */
+	async runHealthChecks(signal: AbortSignal): Promise<void> {
+		await this.#healthChecker.run(signal);
+	}
+
+	/** Probes whether workers can be reached, until the signal is aborted. */
+	async runProbes(signal: AbortSignal): Promise<void> {
+		await this.#prober.run(signal);
+	}
+
+	#recordConnect(worker: string, durationMs: number): void {
+		if (this.reachability.recordConnect(this.deps.clock.monotonic())) {
+			this.#handleIsolationChange(false);
+		}
+
+		const region = this.deps.state.fleet.get(worker)?.region;
+		if (region !== undefined) {
+			this.roundTrips.record(region, durationMs);
+		}
+	}
+
+	#handleCrash(worker: Worker, fingerprints: readonly string[]): void {
+		// The path to the worker may have been cut instead.
+		if (this.reachability.isDoubtful) {
+			return;
+		}
+
+		this.health.recordAttempt(worker.hash, AttemptOutcome.Unreachable, this.deps.clock.monotonic());
+		this.deps.onCrash(worker, fingerprints);
+	}
+
+	#handleIsolationChange(isIsolated: boolean): void {
+		this.deps.log.warn({event: 'isolation', isIsolated});
+		if (isIsolated) {
+			// Connections that were opened before may be silent.
+			this.pool.close();
+		} else {
+			this.health.forgetUnreachable();
+		}
+
+		this.deps.onIsolationChange(isIsolated);
+	}
+}
--- a/packages/soak/src/breakages.ts
+++ b/packages/soak/src/breakages.ts
@@ -46,8 +46,8 @@
 		promise: 'limit',
 	},
 	'keeps-limits-alone': {
-		file: 'packages/entry/src/host/host.ts',
-		from: 'const ready = this.#isolation.listServing(nowMs).map(({hash, entry: {region}}) => ({hash, region}));',
+		file: 'packages/entry/src/host/directory.ts',
+		from: 'const ready = isolation.listServing(nowMs).map(({hash, entry: {region}}) => ({hash, region}));',
 		to: 'const ready: Array<{hash: number; region: string}> = [];',
 		promise: 'limit',
 	},
