refactor(entry): the wait for a placement leaves session.ts

PlacementWaiter places a request for each attempt and holds its wait; Session tells it to stop when the caller leaves or the request is stopped. 274 tests of entry pass.

--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -1,7 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {readPendingInput} from '@apricotwood/clock';
 import {
-	PlacementReason, RequestKind, PlacementAction, hashObject, computeRetryAfterMs, computeWaitUntilMs, type Placement, type PlacementRequest, type Route, type Waiter,
+	PlacementReason, RequestKind, hashObject, computeRetryAfterMs, computeWaitUntilMs, type Placement, type Route,
 } from '@apricotwood/steering';
 import type {RequestMetadata} from '../dialect.js';
 import {ExchangeEnd, isForwardable, type ExchangeResult} from '../upstream/exchange.js';
@@ -11,6 +11,7 @@
 } from './body.js';
 import {createQuarantineRejection, type GuardedRequest} from './crash-guard.js';
 import {RequestFingerprint} from './fingerprint.js';
+import {PlacementWaiter} from './placement-waiter.js';
 import {
 	RejectionCode, createNotRunRejection, createUnknownOutcomeRejection, type Rejection,
 } from './rejection.js';
@@ -35,21 +36,15 @@
 	readonly #deadlineAtMs: number;
 	/** Time by which the response should arrive (the route's target latency after the caller's first attempt), monotonic ms. */
 	readonly #targetAtMs: number;
-	/** Latest time until which the request may wait for capacity, monotonic ms. */
-	readonly #waitUntilMs: number;
-	readonly #isCallerRetry: boolean;
 	readonly #service: string;
 	readonly #object: number | undefined;
-	/** Random hash that ranks the workers if the request has no object. */
-	readonly #randomKey: number;
 	readonly #excludedWorkers = new Set<string>();
 	readonly #writer: ResponseWriter;
+	readonly #waiter: PlacementWaiter;
 	#sender: AttemptSender | undefined;
 	#hasCallerLeft = false;
 	/** Why the request was stopped before it had a response. */
 	#stopReason: Rejection | undefined;
-	#queuedMs = 0;
-	#resumeWaiting: (() => void) | undefined;
 
 	constructor(
 		private readonly deps: SessionDeps,
@@ -66,12 +61,21 @@
 		const callerTimeoutMs = metadata.waitsMs ?? route.timeoutMs;
 		this.#deadlineAtMs = this.#startAtMs + Math.min(callerTimeoutMs, route.timeoutMs);
 		const elapsedMs = metadata.waitsMs === undefined ? 0 : retryDetector.estimateElapsedMs(route.name, metadata.waitsMs);
-		this.#isCallerRetry = elapsedMs > 0;
 		this.#targetAtMs = this.#startAtMs + route.targetMs - elapsedMs;
-		this.#waitUntilMs = computeWaitUntilMs(this.#startAtMs, this.#deadlineAtMs);
-		this.#randomKey = Math.floor(random.next() * (2 ** 32));
+		const randomKey = Math.floor(random.next() * (2 ** 32));
 		this.#service = trafficSplitter.chooseService(route, metadata.object, random.next());
 		this.#object = route.hasAffinity && metadata.object !== undefined ? hashObject(route, this.#service, metadata.object) : undefined;
+		this.#waiter = new PlacementWaiter(deps, {
+			route,
+			service: this.#service,
+			objectHash: this.#object,
+			randomKey,
+			excludedIds: this.#excludedWorkers,
+			targetAtMs: this.#targetAtMs,
+			deadlineAtMs: this.#deadlineAtMs,
+			isCallerRetry: elapsedMs > 0,
+			waitUntilMs: computeWaitUntilMs(this.#startAtMs, this.#deadlineAtMs),
+		});
 	}
 
 	/** Runs until the request has ended. Failures of workers and callers are handled here; the promise rejects only on an unexpected exception. */
@@ -109,7 +113,10 @@
 	async #detectDeparture(): Promise<void> {
 		await readPendingInput();
 		const {socket} = this.req;
-		this.#hasCallerLeft ||= socket.readableEnded || socket.destroyed;
+		if (socket.readableEnded || socket.destroyed) {
+			this.#hasCallerLeft = true;
+			this.#waiter.stop();
+		}
 	}
 
 	#checkBody(body: RequestBody | undefined): Rejection | undefined {
@@ -242,55 +249,14 @@
 		return this.#deadlineAtMs - this.deps.clock.monotonic();
 	}
 
-	/** Chooses a worker; if none has capacity, waits and tries again whenever some may have been freed. @returns `undefined` if the caller has left. */
+	/** Chooses a worker for the next attempt. @returns `undefined` if the caller has left or the request was stopped. */
 	async #awaitPlacement(): Promise<Placement | undefined> {
-		const {placer, clock, waiting} = this.deps;
 		const isRetry = this.#sender !== undefined && this.#sender.records.length > 0;
 		if (isRetry) {
 			await this.#detectDeparture();
 		}
 
-		const startAtMs = clock.monotonic();
-		const place = (waitingBefore: number) => this.#hasCallerLeft || this.#stopReason ? undefined : placer.place(this.#createPlacementRequest(waitingBefore), clock.monotonic());
-		let placement = place(waiting.countBefore(this.#service, this.route.priority));
-		if (placement?.action !== PlacementAction.Wait || waiting.isFull) {
-			return placement;
-		}
-
-		const waiter: Waiter<() => void> = {
-			item: () => this.#resumeWaiting?.(), service: this.#service, priority: this.route.priority, targetAtMs: this.#targetAtMs, isCallerRetry: this.#isCallerRetry,
-		};
-		waiting.add(waiter);
-		while (placement?.action === PlacementAction.Wait) {
-			await this.#awaitCapacity(); // eslint-disable-line no-await-in-loop
-			placement = place(0);
-		}
-
-		waiting.delete(waiter);
-		this.#queuedMs += clock.monotonic() - startAtMs;
-		return placement;
-	}
-
-	async #awaitCapacity(): Promise<void> {
-		await new Promise<void>(resolve => {
-			this.#resumeWaiting = resolve;
-		});
-		this.#resumeWaiting = undefined;
-	}
-
-	#createPlacementRequest(waitingBefore: number): PlacementRequest {
-		return {
-			route: this.route,
-			service: this.#service,
-			objectHash: this.#object,
-			randomKey: this.#randomKey,
-			excludedIds: this.#excludedWorkers,
-			targetAtMs: this.#targetAtMs,
-			deadlineAtMs: this.#deadlineAtMs,
-			isCallerRetry: this.#isCallerRetry,
-			waitUntilMs: this.#waitUntilMs,
-			waitingBefore,
-		};
+		return this.#waiter.place();
 	}
 
 	/**
@@ -355,13 +321,13 @@
 	/** Ends the request with a rejection: it waits no longer, and an attempt in progress is cancelled. */
 	#stop(reason: Rejection): void {
 		this.#stopReason = reason;
-		this.#resumeWaiting?.();
+		this.#waiter.stop();
 		this.#sender?.cancel();
 	}
 
 	#onCallerLeft(): void {
 		this.#hasCallerLeft = true;
-		this.#resumeWaiting?.();
+		this.#waiter.stop();
 		this.#sender?.cancel();
 	}
 
@@ -389,7 +355,7 @@
 			code,
 			status: this.#writer.status,
 			ms,
-			waitedMs: Math.round(this.#queuedMs),
+			waitedMs: Math.round(this.#waiter.queuedMs),
 			isRelayed: this.isRelayed ? true : undefined,
 			targetLeftMs: Math.round(this.#targetAtMs - clock.monotonic()),
 			attempts: this.#sender?.records ?? [],
