fix(entry): crashes that are noticed while the path is in doubt are held back, not dropped

When a request ends one worker after the other, that is the very moment in which they count. They are now kept until the doubt is settled: reported once a worker accepts a connection, dropped if the host is isolated.

--- a/packages/entry/src/host/worker-access.ts
+++ b/packages/entry/src/host/worker-access.ts
@@ -43,7 +43,8 @@
 		this.pool = new ConnectionPool({
 			...deps,
 			onConnect: (worker, durationMs) => {
-				this.#recordConnect(worker, durationMs);
+				this.#recordReached();
+				this.#recordRoundTrip(worker, durationMs);
 			},
 			onConnectFailure: worker => {
 				this.reachability.recordFailure(hashText(worker));
@@ -52,6 +53,7 @@
 		this.crashDetector = new CrashDetector({
 			log,
 			connector,
+			isPathInDoubt: () => this.reachability.isDoubtful,
 			onCrash: (worker, fingerprints) => {
 				this.#handleCrash(worker, fingerprints);
 			},
@@ -61,8 +63,11 @@
 			...deps,
 			fleet: state.fleet,
 			reachability: this.reachability,
-			onChange: isIsolated => {
-				this.#handleIsolationChange(isIsolated);
+			onReached: () => {
+				this.#recordReached();
+			},
+			onIsolated: () => {
+				this.#handleIsolationChange(true);
 			},
 		});
 	}
@@ -77,11 +82,15 @@
 		await this.#prober.run(signal);
 	}
 
-	#recordConnect(worker: string, durationMs: number): void {
+	#recordReached(): void {
 		if (this.reachability.recordConnect(this.deps.clock.monotonic())) {
 			this.#handleIsolationChange(false);
 		}
 
+		this.crashDetector.settle(false);
+	}
+
+	#recordRoundTrip(worker: string, durationMs: number): void {
 		const region = this.deps.state.fleet.get(worker)?.region;
 		if (region !== undefined) {
 			this.roundTrips.record(region, durationMs);
@@ -89,17 +98,13 @@
 	}
 
 	#handleCrash(worker: Worker, fingerprints: readonly string[]): void {
-		// The path to the worker may have been cut instead.
-		if (this.reachability.isDoubtful) {
-			return;
-		}
-
 		this.health.recordAttempt(worker.hash, AttemptOutcome.Unreachable, this.deps.clock.monotonic());
 		this.deps.onCrash(worker, fingerprints);
 	}
 
 	#handleIsolationChange(isIsolated: boolean): void {
 		this.deps.log.warn({event: 'isolation', isIsolated});
+		this.crashDetector.settle(isIsolated);
 		if (isIsolated) {
 			// Connections that were opened before may be silent.
 			this.pool.close();
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -32,6 +32,7 @@
 export {RelaySelector, type Recipients} from './peer/relays.js';
 export {RetryDetector} from './request/retry-detector.js';
 export {Connection} from './upstream/connection.js';
+export {CrashDetector, type CrashDetectorDeps} from './upstream/crash-detector.js';
 export {
 	ProbeResult, createTcpConnector, probe, type Connector,
 } from './upstream/connector.js';
--- a/packages/entry/src/upstream/crash-detector.ts
+++ b/packages/entry/src/upstream/crash-detector.ts
@@ -9,6 +9,8 @@
 export type CrashDetectorDeps = {
 	readonly connector: Connector;
 	readonly log: Log;
+	/** Whether it is unclear if this host reaches workers at all: a refusal may then come from its path. */
+	readonly isPathInDoubt: () => boolean;
 	/** Called when a worker has crashed. @param fingerprints requests that ran there, the cause among them or not. */
 	readonly onCrash: (worker: Worker, fingerprints: readonly string[]) => void;
 };
@@ -21,6 +23,8 @@
 export class CrashDetector {
 	/** Fingerprints of the requests whose connections ended, by the id of the worker that is being checked. */
 	readonly #suspicions = new Map<string, Set<string>>();
+	/** Crashes that hold if this host reaches other workers. */
+	#unsettled: Array<() => void> = [];
 
 	constructor(private readonly deps: CrashDetectorDeps) {}
 
@@ -46,9 +50,32 @@
 		const hasCrashed = await probe(this.deps.connector, address) === ProbeResult.Refused;
 		const fingerprints = [...this.#suspicions.get(id)!];
 		this.#suspicions.delete(id);
-		if (hasCrashed) {
+		if (!hasCrashed) {
+			return;
+		}
+
+		const report = () => {
 			this.deps.log.info({event: 'worker-crash', worker: id, fingerprints});
 			this.deps.onCrash(worker, fingerprints);
+		};
+
+		if (this.deps.isPathInDoubt()) {
+			this.#unsettled.push(report);
+		} else {
+			report();
+		}
+	}
+
+	/** Settles the crashes that were noticed while the path was in doubt. @param isIsolated whether this host reaches no worker, so that they were none. */
+	settle(isIsolated: boolean): void {
+		const unsettled = this.#unsettled;
+		this.#unsettled = [];
+		if (isIsolated) {
+			return;
+		}
+
+		for (const report of unsettled) {
+			report();
 		}
 	}
 }
--- a/packages/entry/src/upstream/reachability-prober.ts
+++ b/packages/entry/src/upstream/reachability-prober.ts
@@ -16,8 +16,10 @@
 	readonly fleet: Fleet;
 	readonly reachability: ReachabilityTracker;
 	readonly connector: Connector;
-	/** Called when this host has become isolated from the workers, or reaches them again. */
-	readonly onChange: (isIsolated: boolean) => void;
+	/** Called when a worker accepted a connection. */
+	readonly onReached: () => void;
+	/** Called when this host has become isolated from the workers. */
+	readonly onIsolated: () => void;
 };
 
 /** Finds out whether this host reaches any worker: probes one if there is no traffic, and a sample if workers fail, until one accepts a connection. */
@@ -37,15 +39,12 @@
 	}
 
 	async #probeSample(size: number): Promise<void> {
-		const {clock, metrics, reachability, connector, onChange} = this.deps;
+		const {metrics, reachability, connector, onReached, onIsolated} = this.deps;
 		const sample = this.#chooseSample(size);
 		metrics.count('reachability.probes', sample.length);
 		const results = await Promise.all(sample.map(async ({registration: {address}}) => probe(connector, address)));
 		if (results.includes(ProbeResult.Accepted)) {
-			if (reachability.recordConnect(clock.monotonic())) {
-				onChange(false);
-			}
-
+			onReached();
 			return;
 		}
 
@@ -54,7 +53,7 @@
 		}
 
 		if (sample.length > 0 && reachability.recordFailedSample()) {
-			onChange(true);
+			onIsolated();
 		}
 	}
 
