--- a/packages/soak/src/environment.ts
+++ b/packages/soak/src/environment.ts
@@ -299,7 +299,9 @@
 		await Promise.all([...links, ...this.workerEndpoints].map(async component => component.stop()));
 		await this.store.stop();
 		this.records.runs.push(...this.workerEndpoints.flatMap(({worker}) => worker.executedRequests));
-		this.records.arrivals.push(...this.workerEndpoints.flatMap(({id: worker, worker: {receivedRequests}}) => receivedRequests.map(({id, atMs}) => ({id, worker, atMs}))));
+		this.records.arrivals.push(...this.workerEndpoints.flatMap(({id: worker, worker: {receivedRequests}}) => receivedRequests.map(({id, atMs, headAtMs}) => ({
+			id, worker, atMs, headAtMs,
+		}))));
 	}
 
 	/** @returns ids and process states of hosts that are not ready in time. */
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -132,10 +132,12 @@
 function checkGone(records: SoakRecords): Violation[] {
 	const abandonedCalls = new Map(records.calls.filter(({end}) => end === CallEnd.GaveUp).map(call => [call.id, call]));
 	const violations: Violation[] = [];
-	for (const {id, worker, atMs} of records.arrivals) {
+	for (const {
+		id, worker, atMs, headAtMs = atMs,
+	} of records.arrivals) {
 		const call = abandonedCalls.get(id);
 		if (call && atMs > call.endAtMs + DEPARTURE_LIMIT_MS && isUndisturbed(records, call.sentAtMs, atMs, [call.host, worker])) {
-			violations.push({promise: 'gone', subject: id, message: `request reached ${worker} ${atMs - call.endAtMs} ms after its caller had left ${call.host}; the soak itself lagged up to ${findMaxLagMs(records, call.sentAtMs, atMs)} ms`});
+			violations.push({promise: 'gone', subject: id, message: `request reached ${worker} ${atMs - call.endAtMs} ms (its head ${headAtMs - call.endAtMs} ms) after its caller had left ${call.host}; the soak itself lagged up to ${findMaxLagMs(records, call.sentAtMs, atMs)} ms`});
 		}
 	}
 
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -95,8 +95,10 @@
 	/** Id of the call. */
 	readonly id: string;
 	readonly worker: string;
-	/** Unix ms. */
+	/** Time at which the worker had read the request, Unix ms. */
 	readonly atMs: number;
+	/** Time at which its head had arrived, Unix ms; `undefined` if not recorded. */
+	readonly headAtMs?: number;
 };
 
 /** Time by which the event loop of the soak itself was late; callers and workers run in it, so what they record is late by as much. */
