feat(cli): trace shows the crashes behind a quarantined request

Lines of requests that are refused as the cause of crashes, or whose attempts broke, have their fingerprint; apricotctl trace adds the crashes and verdicts with it, of all hosts and at any time. A request in progress is also forgotten by the guard if its session fails unexpectedly.

--- a/packages/cli/src/trace.ts
+++ b/packages/cli/src/trace.ts
@@ -17,6 +17,7 @@
 	'leaving',
 	'left',
 	'host-heard',
+	'isolation',
 	'part-failed',
 	'beliefs',
 ]);
@@ -47,13 +48,19 @@
 
 /**
  * Collects the log lines of a request, with related events of its hosts up to `windowMs` before and after it.
- * Worker events are included only for workers that the request was sent to. The lines are in order of time.
+ * Worker events are included only for workers that the request was sent to. Of a request that is taken for the cause
+ * of crashes, the crashes are included at any time and on all hosts. The lines are in order of time.
  */
 export function collectTrace(lines: readonly LogLine[], id: string, windowMs: number): LogLine[] {
 	const requestLines = lines.filter(line => line.id === id);
 	const hosts = new Set(requestLines.map(({self}) => self));
 	const workers = new Set(requestLines.flatMap(line => listAttemptedWorkers(line)));
+	const fingerprints = new Set(requestLines.map(({fingerprint}) => fingerprint).filter(Boolean));
 	const related = lines.filter(line => {
+		if (listCrashFingerprints(line).some(fingerprint => fingerprints.has(fingerprint))) {
+			return true;
+		}
+
 		const isNear = requestLines.some(({at, ms}) => line.at >= at - Number(ms ?? 0) - windowMs && line.at <= at + windowMs);
 		const concernsWorker = line.worker === undefined || (typeof line.worker === 'string' && workers.has(line.worker));
 		return isNear && concernsWorker && hosts.has(line.self) && RELATED_EVENTS.has(line.event);
@@ -61,6 +68,23 @@
 	return [...requestLines, ...related].toSorted((a, b) => a.at - b.at);
 }
 
+/** Fingerprints of the requests that a line about a crash names. */
+function listCrashFingerprints({event, fingerprint, fingerprints}: LogLine): unknown[] {
+	switch (event) {
+		case 'worker-crash': {
+			return Array.isArray(fingerprints) ? fingerprints : [];
+		}
+
+		case 'crash-suspect': {
+			return [fingerprint];
+		}
+
+		default: {
+			return [];
+		}
+	}
+}
+
 function listAttemptedWorkers({attempts}: LogLine): string[] {
 	return Array.isArray(attempts) ? attempts.map(attempt => String((attempt as {worker?: unknown}).worker)) : [];
 }
--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -42,6 +42,7 @@
 	readonly #writer: ResponseWriter;
 	readonly #waiter: PlacementWaiter;
 	#sender: AttemptSender | undefined;
+	#fingerprint: RequestFingerprint | undefined;
 	#hasCallerLeft = false;
 	/** Why the request was stopped before it had a response. */
 	#stopReason: Rejection | undefined;
@@ -131,6 +132,7 @@
 	async #serve(body: RequestBody | undefined): Promise<Rejection | undefined> {
 		const {crashGuard} = this.deps;
 		const fingerprint = new RequestFingerprint(this.req, body);
+		this.#fingerprint = fingerprint;
 		const guarded: GuardedRequest = {
 			fingerprint,
 			stop: () => {
@@ -143,9 +145,11 @@
 		}
 
 		this.#sender = this.#createSender(body, fingerprint);
-		const outcome = await this.#tryWorkersOrPeers(body, this.#sender, guarded);
-		crashGuard.leave(guarded);
-		return outcome;
+		try {
+			return await this.#tryWorkersOrPeers(body, this.#sender, guarded);
+		} finally {
+			crashGuard.leave(guarded);
+		}
 	}
 
 	/** Passes the request on to another host while this one reaches no worker. @returns as `#tryWorkers`. */
@@ -343,6 +347,7 @@
 		const {log, metrics, clock, getConfigVersion} = this.deps;
 		const ms = Math.round(clock.monotonic() - this.#startAtMs);
 		const code = this.#hasCallerLeft ? RejectionCode.CallerLeft : (rejection?.code ?? 'answered');
+		const hasCrashes = code === RejectionCode.Quarantined || code === RejectionCode.Suspect || (this.#sender?.brokenAttempts ?? 0) > 0;
 		metrics.count(`requests.${code}`);
 		metrics.latency(`request.${this.route.kind}`, ms);
 		log.info({
@@ -359,6 +364,7 @@
 			isForwarded: this.isForwarded ? true : undefined,
 			targetLeftMs: Math.round(this.#targetAtMs - clock.monotonic()),
 			attempts: this.#sender?.records ?? [],
+			fingerprint: hasCrashes ? this.#fingerprint?.value : undefined,
 			message: rejection?.message,
 		});
 	}
--- a/test/cli/trace.test.ts
+++ b/test/cli/trace.test.ts
@@ -15,11 +15,12 @@
 	});
 }
 
-// The three kinds of failure that docs/OPERATIONS.md describes.
+// The kinds of failure that docs/OPERATIONS.md describes.
 for (const [id, events, cause] of [
 	['46cea3e8f5b3f4fe', ['source-lost', 'request', 'check'], 'Connect Timeout Error'],
 	['12c71bf4355afb31', ['request'], '"end":"timeout"'],
 	['ff9d21d948475c23', ['request'], '12 requests at the worker, 222 ms to wait'],
+	['q1', ['worker-crash', 'worker-crash', 'crash-suspect', 'request'], '"verdict":"suspect"'],
 ] as const) {
 	test(`trace: the events of request ${id} show its cause`, async () => {
 		const {status, out} = await trace(id, '--logs', LOGS);
