--- a/test/entry/crashing-requests.test.ts
+++ b/test/entry/crashing-requests.test.ts
@@ -1,12 +1,10 @@
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
-import {FakeStore, FakeWorker, createOperatorConfig} from '@apricotwood/platform/standin';
-import {
-	TestEntryHost, freePorts, waitUntil, type HttpResponse,
-} from '../fixtures/test-entry-host.js';
+import {FakeWorker} from '@apricotwood/platform/standin';
+import {TestCluster} from '../fixtures/test-cluster.js';
+import type {HttpResponse} from '../fixtures/test-entry-host.js';
 
-const HOST_IPS = ['127.0.0.31', '127.0.0.32', '127.0.0.33', '127.0.0.34'];
 const ZONES = ['a1', 'a2', 'b1'];
 /** Crashes after which the platform allows a request three more arrivals, counted from `CONTACT_MS` later. */
 const MAX_CRASHES = 3;
@@ -20,9 +18,15 @@
 const REQUEST_GAP_MS = 15;
 const CRASHING_PATH = '/read/crash?item=4';
 
-const store = new FakeStore();
 const workers = Array.from({length: 9}, (_, index) => new FakeWorker(`w${index}`, 'board', ZONES[index % ZONES.length]));
-const hosts: TestEntryHost[] = [];
+for (const worker of workers) {
+	worker.processingMs = 20;
+	worker.crashingUrl = 'crash';
+	worker.crashDelayMs = CRASH_DELAY_MS;
+}
+
+const cluster = new TestCluster({firstOctet: 31, zones: [...ZONES, ZONES[0]!], workers});
+const {hosts} = cluster;
 
 /** Sends a request to each host in turn, from different addresses, until the time is over. */
 async function sendInTurn(durationMs: number, gapMs: number, createPath: (index: number) => string): Promise<HttpResponse[]> {
@@ -41,30 +45,12 @@
 }
 
 before(async () => {
-	await store.start();
-	store.putConfig(createOperatorConfig(3, ['board']));
-	for (const worker of workers) {
-		worker.processingMs = 20;
-		worker.crashingUrl = 'crash';
-		worker.crashDelayMs = CRASH_DELAY_MS;
-		await worker.start();
-		store.putWorker(worker.id, worker.entry);
-	}
-
-	const ports = await freePorts(5);
-	for (const [index, ip] of HOST_IPS.entries()) {
-		hosts.push(await new TestEntryHost(ip, ports, store.address, {zone: ZONES[index % ZONES.length]}).start());
-	}
-
-	await waitUntil('all hosts are ready and know each other', () => hosts.every(({host}) => host.isReady
-		&& host.members.ready(performance.now()).length === hosts.length - 1 && host.state.fleet.size === workers.length));
+	await cluster.start();
 	await sendInTurn(300, REQUEST_GAP_MS, index => `/read/${index}`);
 });
 
 after(async () => {
-	await Promise.all(hosts.map(async host => host.stop()));
-	await Promise.all(workers.map(async worker => worker.stop()));
-	await store.stop();
+	await cluster.stop();
 });
 
 // BUDGET: a request under which three workers had crashed was sent to workers 10 times more; 23 crashed in all.
--- a/test/entry/isolated-hosts.test.ts
+++ b/test/entry/isolated-hosts.test.ts
@@ -1,11 +1,10 @@
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
 import {setTimeout as pause} from 'node:timers/promises';
-import {FakeStore, FakeWorker, createOperatorConfig} from '@apricotwood/platform/standin';
+import {FakeWorker} from '@apricotwood/platform/standin';
 import {Partition, PartitionConnector} from '../fixtures/partition-connector.js';
-import {
-	TestEntryHost, freePorts, waitUntil, type HttpResponse,
-} from '../fixtures/test-entry-host.js';
+import {TestCluster} from '../fixtures/test-cluster.js';
+import {waitUntil, type HttpResponse} from '../fixtures/test-entry-host.js';
 
 /** The first two hosts, all of zone a1, lose the workers. */
 const ZONES = ['a1', 'a1', 'a2', 'b1', 'b1'];
@@ -17,10 +16,16 @@
 /** Least ratio of first tries served at isolated hosts, compared with the others. */
 const MIN_SERVED_RATIO = 2 / 3;
 
-const store = new FakeStore();
 const workers = Array.from({length: 6}, (_, index) => new FakeWorker(`w${index}`, 'board', ['a1', 'a2', 'b1'][index % 3]));
 const connectors = ZONES.map(() => new PartitionConnector());
-const hosts: TestEntryHost[] = [];
+for (const worker of workers) {
+	worker.processingMs = 10;
+}
+
+const cluster = new TestCluster({
+	firstOctet: 41, zones: ZONES, workers, connectors: connectors.map(({connect}) => connect),
+});
+const {hosts} = cluster;
 
 /** Sends reads and bookings to each host in turn. @returns the responses by host. */
 async function applyLoad(durationMs: number): Promise<HttpResponse[][]> {
@@ -42,28 +47,12 @@
 }
 
 before(async () => {
-	await store.start();
-	store.putConfig(createOperatorConfig(3, ['board']));
-	for (const worker of workers) {
-		worker.processingMs = 10;
-		await worker.start();
-		store.putWorker(worker.id, worker.entry);
-	}
-
-	const ports = await freePorts(5);
-	for (const [index, zone] of ZONES.entries()) {
-		hosts.push(await new TestEntryHost(`127.0.0.${41 + index}`, ports, store.address, {zone, connector: connectors[index]!.connect}).start());
-	}
-
-	await waitUntil('all hosts are ready and know each other', () => hosts.every(({host}) => host.isReady
-		&& host.members.ready(performance.now()).length === hosts.length - 1 && host.state.fleet.size === workers.length));
+	await cluster.start();
 	await applyLoad(500);
 });
 
 after(async () => {
-	await Promise.all(hosts.map(async host => host.stop()));
-	await Promise.all(workers.map(async worker => worker.stop()));
-	await store.stop();
+	await cluster.stop();
 });
 
 for (const partition of Object.values(Partition)) {
--- a/test/entry/rate-limits.test.ts
+++ b/test/entry/rate-limits.test.ts
@@ -2,22 +2,23 @@
 import {
 	after, before, beforeEach, test,
 } from 'node:test';
-import {FakeStore, FakeWorker, createOperatorConfig} from '@apricotwood/platform/standin';
-import {
-	TestEntryHost, freePorts, waitUntil, type HttpResponse,
-} from '../fixtures/test-entry-host.js';
+import {FakeWorker} from '@apricotwood/platform/standin';
+import {TestCluster} from '../fixtures/test-cluster.js';
+import {waitUntil, type HttpResponse} from '../fixtures/test-entry-host.js';
 
-const HOST_IPS = ['127.0.0.21', '127.0.0.22', '127.0.0.23', '127.0.0.24'];
 /** Time between two requests of the load, ms. */
 const REQUEST_GAP_MS = 15;
 /** Time in which all hosts must have learned of a limit, ms; the platform allows some seconds. */
 const LEARNING_MS = 1000;
 const WINDOW_MS = 4000;
-const ZONES = ['a1', 'a2', 'b1'];
 
-const store = new FakeStore();
 const workers = [new FakeWorker('w1', 'board'), new FakeWorker('w2', 'board', 'a2'), new FakeWorker('w3', 'board', 'b1')];
-const hosts: TestEntryHost[] = [];
+for (const worker of workers) {
+	worker.processingMs = 20;
+}
+
+const cluster = new TestCluster({firstOctet: 21, zones: ['a1', 'a2', 'b1', 'a1'], workers});
+const {store, hosts} = cluster;
 
 /** The platform's bound on the requests that a worker with a limit gets in `WINDOW_MS`. */
 function computeBound(rateLimit: number): number {
@@ -48,28 +49,12 @@
 }
 
 before(async () => {
-	await store.start();
-	store.putConfig(createOperatorConfig(3, ['board']));
-	for (const worker of workers) {
-		worker.processingMs = 20;
-		await worker.start();
-		store.putWorker(worker.id, worker.entry);
-	}
-
-	const ports = await freePorts(5);
-	for (const [index, ip] of HOST_IPS.entries()) {
-		hosts.push(await new TestEntryHost(ip, ports, store.address, {zone: ZONES[index % ZONES.length]}).start());
-	}
-
-	await waitUntil('all hosts are ready and know each other', () => hosts.every(({host}) => host.isReady
-		&& host.members.ready(performance.now()).length === hosts.length - 1 && host.state.fleet.size === workers.length));
+	await cluster.start();
 	await applyLoad(500);
 });
 
 after(async () => {
-	await Promise.all(hosts.map(async host => host.stop()));
-	await Promise.all(workers.map(async worker => worker.stop()));
-	await store.stop();
+	await cluster.stop();
 });
 
 beforeEach(() => {
