--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -10,11 +10,10 @@
 } from '../upstream/exchange.js';
 import type {Connection} from '../upstream/connection.js';
 import type {Member} from '../peer/members.js';
-import {FORWARDED_HEADER} from '../peer/peer-server.js';
 import {BodyReadResult, streamBody, type RequestBody} from './body.js';
 import type {RequestFingerprint} from './fingerprint.js';
 import type {PeerSender} from './request-forwarder.js';
-import {copyRequestHeaders} from './headers.js';
+import {FORWARDED_HEADER, copyRequestHeaders} from './headers.js';
 import type {SessionDeps} from './session-deps.js';
 
 /** Time after the deadline for a response of the worker itself, such as a 504, to arrive before this host cancels the exchange, ms. */
--- a/packages/entry/src/request/headers.ts
+++ b/packages/entry/src/request/headers.ts
@@ -1,7 +1,10 @@
 import type {IncomingMessage} from 'node:http';
 import type {ResponseHeaders} from '../dialect.js';
-import {FORWARDED_HEADER} from '../peer/peer-server.js';
 
+/** Header of a request that a host passes on for a caller; its value is the id of that host. */
+export const FORWARDED_HEADER = 'x-forwarded-by-host';
+/** Hard limit of the HTTP parser, bytes; the configured limit is checked after parsing. */
+export const MAX_PARSED_HEADER_BYTES = 256 * 1024;
 /** Headers that are not forwarded: the hop-by-hop headers, which apply to a single connection, also that between two hosts, and `expect`, which Node.js has already answered and undici rejects. */
 const UNFORWARDED_HEADERS = new Set(['connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', FORWARDED_HEADER]);
 
--- a/packages/entry/src/request/ingress.ts
+++ b/packages/entry/src/request/ingress.ts
@@ -3,13 +3,11 @@
 } from 'node:http';
 import {DEFAULT_CALLER_LIMITS, type CallerLimits} from '@apricotwood/steering';
 import type {ReplicatedState} from '../state/replicated-state.js';
-import {countHeaderBytes} from './headers.js';
+import {MAX_PARSED_HEADER_BYTES, countHeaderBytes} from './headers.js';
 import type {SessionDeps} from './session-deps.js';
 import {RejectionCode, createNotRunRejection, sendRejection, type Rejection} from './rejection.js';
 import {Session} from './session.js';
 
-/** Hard limit of the HTTP parser, bytes; the configured limit is checked after parsing. */
-const MAX_PARSED_HEADER_BYTES = 256 * 1024;
 /** Margin by which the server's keep-alive timeout exceeds the callers' idle timeout, ms, so that no request is sent while the server closes the connection. */
 const KEEP_ALIVE_MARGIN_MS = 2000;
 /** Age of the state (the older of operations and workers) above which a new route may be missing from it, ms; an unknown route is then answered with 503 instead of 404. */
