--- a/packages/soak/src/proxy.ts
+++ b/packages/soak/src/proxy.ts
@@ -40,7 +40,7 @@
 	#state = LinkState.Healthy;
 	#ip = '';
 	#port = 0;
-	/** Faults that have not ended, in the order of their start; the last one determines the state. */
+	/** Faults that have not ended, in the order of their start. */
 	#faults: Array<{readonly state: LinkState}> = [];
 
 	/** @param getTarget returns the `IP:port` to connect to; called for each connection. */
@@ -55,17 +55,22 @@
 		return `${this.#ip}:${this.#port}`;
 	}
 
-	/** Starts a fault. Faults may overlap. @returns a function that ends it. */
+	/** Starts a fault. Of overlapping ones, `Refusing` prevails, else the last. @returns a function that ends it. */
 	startFault(state: LinkState): () => void {
 		const fault = {state};
 		this.#faults.push(fault);
-		this.setState(state);
+		this.#applyFaults();
 		return () => {
 			this.#faults = this.#faults.filter(other => other !== fault);
-			this.setState(this.#faults.at(-1)?.state ?? LinkState.Healthy);
+			this.#applyFaults();
 		};
 	}
 
+	#applyFaults(): void {
+		const isRefusing = this.#faults.some(({state}) => state === LinkState.Refusing);
+		this.setState(isRefusing ? LinkState.Refusing : this.#faults.at(-1)?.state ?? LinkState.Healthy);
+	}
+
 	/** Ends all faults. */
 	clearFaults(): void {
 		this.#faults = [];
--- a/test/soak/links.test.ts
+++ b/test/soak/links.test.ts
@@ -122,6 +122,11 @@
 	socket.write('open');
 	assert.equal(await nextEvent(socket, 'data', 'close'), 'data');
 	assert.deepEqual(received, ['open']);
+	// A later fault of the same link does not let connections through.
+	const endDelay = link.startFault(LinkState.Delayed);
+	const stillRefused = connect(Number(port), ip);
+	assert.equal(await nextEvent(stillRefused, 'connect', 'error'), 'error');
+	endDelay();
 	endFault();
 	const accepted = connect(Number(port), ip);
 	assert.equal(await nextEvent(accepted, 'connect', 'error'), 'connect');
