fix(entry): what finds no worker of its service here is passed on to another host

Cause: whether to pass a request on was decided for the host as a whole, not for what the request needs. Ruled out: that the other hosts were full; they served nine of ten of their own calls.

Change: a request that is rejected for want of a worker, or that could not be sent to one, is passed on too, unless the others rejected one of the service in the last 0.5 s, so that a service that is down costs little. Faults of workers that all hosts know are rejected by the next host at once.

--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -25,6 +25,7 @@
 export {PeerReports, type ReportTopic} from './peer/reports.js';
 export {RateLimitReports, decodeRateLimits, encodeRateLimits} from './peer/rate-limit-reports.js';
 export {IsolationReports} from './peer/isolation-reports.js';
+export {RejectionCode, type Rejection} from './request/rejection.js';
 export {RequestForwarder, type RequestForwarderDeps, type PeerSender} from './request/request-forwarder.js';
 export {CrashReports, decodeCrashes, encodeCrashes} from './peer/crash-reports.js';
 export {HeartbeatService, type HeartbeatServiceDeps, type CatchUpSource} from './peer/heartbeat-service.js';
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -3,9 +3,14 @@
 import type {IsolationReports} from '../peer/isolation-reports.js';
 import type {Member} from '../peer/members.js';
 import {ExchangeEnd, type ExchangeResult} from '../upstream/exchange.js';
+import {RejectionCode, type Rejection} from './rejection.js';
 
 /** Maximum number of hosts that are tried for one request. */
 const MAX_PEERS = 2;
+/** Time for which requests for a service are not passed on because of missing workers after the other hosts rejected one, ms. */
+const REJECTED_PAUSE_MS = 500;
+/** Rejections after which another host may reach a worker: this one found none, and nothing was sent. */
+const UNREACHED_CODES = new Set([RejectionCode.NoWorker, RejectionCode.Unreachable]);
 
 /** Sends a request to another host. */
 export interface PeerSender {
@@ -22,8 +27,14 @@
 	readonly region: string;
 };
 
-/** Decides whether requests are passed on to another host, and to which: while this host reaches no worker. A request is passed on once. */
+/**
+ * Decides whether requests are passed on to another host, and to which: while this
+ * host reaches no worker, or none of the service. A request is passed on once.
+ */
 export class RequestForwarder {
+	/** End of the pause of a service, monotonic ms. */
+	readonly #pausedUntilMs = new Map<string, number>();
+
 	constructor(private readonly deps: RequestForwarderDeps) {}
 
 	/** Whether requests have to be passed on. */
@@ -36,14 +47,21 @@
 		return this.deps.reachability.isDoubtful;
 	}
 
+	/** Whether a request that this host rejects should be passed on instead. */
+	canHelp({code}: Rejection, service: string): boolean {
+		const isPaused = this.deps.clock.monotonic() < (this.#pausedUntilMs.get(service) ?? Number.NEGATIVE_INFINITY);
+		return this.isDoubtful || (UNREACHED_CODES.has(code) && !isPaused);
+	}
+
 	/**
 	 * Passes a request on. If a host rejects it, as it may be full or at its share of
 	 * a rate limit, the next one is tried.
 	 * @param canRepeat whether the request can be sent again; a body that is streamed cannot.
 	 * @returns the result of the last host that received it; `undefined` if none did.
 	 */
-	async forward(route: Route, sender: PeerSender, canRepeat: boolean): Promise<ExchangeResult | undefined> {
+	async forward(route: Route, service: string, sender: PeerSender, canRepeat: boolean): Promise<ExchangeResult | undefined> {
 		let last: ExchangeResult | undefined;
+		let isRejected = false;
 		for (const peer of this.listPeers(route)) {
 			const result = await sender.sendToPeer(peer); // eslint-disable-line no-await-in-loop
 			if (result.end === ExchangeEnd.Unreachable) {
@@ -51,12 +69,16 @@
 			}
 
 			last = result;
-			const isRejected = result.end === ExchangeEnd.Answered && !result.mayHaveRun;
+			isRejected = result.end === ExchangeEnd.Answered && !result.mayHaveRun;
 			if (!isRejected || !canRepeat) {
 				break;
 			}
 		}
 
+		if (isRejected) {
+			this.#pausedUntilMs.set(service, this.deps.clock.monotonic() + REJECTED_PAUSE_MS);
+		}
+
 		return last;
 	}
 
--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -152,7 +152,7 @@
 		}
 	}
 
-	/** Passes the request on to another host while this one reaches no worker. @returns as `#tryWorkers`. */
+	/** Passes the request on to another host if this one reaches no worker that could take it. @returns as `#tryWorkers`. */
 	async #tryWorkersOrPeers(body: RequestBody | undefined, sender: AttemptSender, guarded: GuardedRequest): Promise<Rejection | undefined> {
 		const {forwarder} = this.deps;
 		if (forwarder.isNeeded) {
@@ -163,7 +163,8 @@
 		}
 
 		const rejection = await this.#tryWorkers(body, sender, guarded);
-		if (!rejection || sender.mayHaveRun || this.#hasCallerLeft || this.#stopReason !== undefined || !forwarder.isDoubtful) {
+		const isOver = !rejection || sender.mayHaveRun || this.#hasCallerLeft || this.#stopReason !== undefined || this.#remainingMs < MIN_ATTEMPT_MS;
+		if (isOver || !forwarder.canHelp(rejection, this.#service)) {
 			return rejection;
 		}
 
@@ -173,7 +174,7 @@
 
 	/** @returns as `#tryWorkers`, or `NOT_FORWARDED` if no host has received the request. */
 	async #tryPeers(body: RequestBody | undefined, sender: AttemptSender): Promise<Rejection | typeof NOT_FORWARDED | undefined> {
-		const result = this.isForwarded ? undefined : await this.deps.forwarder.forward(this.route, sender, body?.result !== BodyReadResult.Unbuffered);
+		const result = this.isForwarded ? undefined : await this.deps.forwarder.forward(this.route, this.#service, sender, body?.result !== BodyReadResult.Unbuffered);
 		if (!result) {
 			return NOT_FORWARDED;
 		}
--- a/test/entry/isolated-hosts.test.ts
+++ b/test/entry/isolated-hosts.test.ts
@@ -22,8 +22,10 @@
 	worker.processingMs = 10;
 }
 
+/** Worker of another service, which gets no request. */
+const otherWorker = new FakeWorker('other', 'desk');
 const cluster = new TestCluster({
-	firstOctet: 41, zones: ZONES, workers, connectors: connectors.map(({connect}) => connect),
+	firstOctet: 41, zones: ZONES, workers: [...workers, otherWorker], connectors: connectors.map(({connect}) => connect),
 });
 const {hosts} = cluster;
 
@@ -100,6 +102,23 @@
 	});
 }
 
+// No-worker for 52 of 147 calls while a worker of another service could be reached (soak seed 10014).
+test('callers of hosts that reach workers of another service only are served like others', async () => {
+	for (const connector of connectors.slice(0, ISOLATED_COUNT)) {
+		connector.exceptPort = otherWorker.address.split(':')[1];
+		connector.begin(Partition.Reset);
+	}
+
+	await applyLoad(CONTACT_MS);
+	const served = (await applyLoad(LOAD_MS)).map(list => computeServedRatio(list));
+	for (const connector of connectors) {
+		connector.end();
+	}
+
+	const least = Math.min(...served.slice(ISOLATED_COUNT)) * MIN_SERVED_RATIO;
+	assert.ok(served.slice(0, ISOLATED_COUNT).every(ratio => ratio >= least), `served: ${served.map(ratio => ratio.toFixed(2)).join(', ')}`);
+});
+
 test('a request that another host passes on may have a header as long as one from a caller', async () => {
 	const {ip, peerPort} = hosts.at(-1)!.host.members.self;
 	const {status} = await send(`${ip}:${peerPort}`, '/read/o1', {headers: {'x-forwarded-by-host': 'host', filler: 'x'.repeat(40_000)}});
--- a/test/entry/request-forwarder.test.ts
+++ b/test/entry/request-forwarder.test.ts
@@ -3,7 +3,7 @@
 import {test} from 'node:test';
 import {SeededRandom} from '@apricotwood/clock';
 import {
-	ExchangeEnd, RequestForwarder, type ExchangeResult, type Member, type PeerSender,
+	ExchangeEnd, RejectionCode, RequestForwarder, type ExchangeResult, type Member, type PeerSender,
 } from '@apricotwood/entry';
 import {ReachabilityTracker} from '@apricotwood/steering';
 import {ClusterSimulation, type SimulatedHost} from '../fixtures/cluster-simulation.js';
@@ -78,9 +78,23 @@
 	test(`request forwarder: a request that is passed on: ${name}`, async () => {
 		const cluster = await createCluster();
 		const sender = new FakeSender(results);
-		const result = await createForwarder(cluster, cluster.getRunningHosts()[0]!).forward(makeRoute(), sender, canRepeat);
+		const result = await createForwarder(cluster, cluster.getRunningHosts()[0]!).forward(makeRoute(), 'board', sender, canRepeat);
 		assert.equal(sender.peers.length, sentCount);
 		assert.equal(new Set(sender.peers).size, sentCount);
 		assert.deepEqual(result && {end: result.end, mayHaveRun: result.mayHaveRun}, last);
 	});
 }
+
+test('request forwarder: what finds no worker here is passed on, but not for a while after the others rejected one of the service', async () => {
+	const cluster = await createCluster();
+	const forwarder = createForwarder(cluster, cluster.getRunningHosts()[0]!);
+	const reject = (code: RejectionCode) => ({code, status: 503, message: ''});
+	assert.equal(forwarder.canHelp(reject(RejectionCode.NoWorker), 'board'), true);
+	assert.equal(forwarder.canHelp(reject(RejectionCode.Unreachable), 'board'), true);
+	assert.equal(forwarder.canHelp(reject(RejectionCode.Late), 'board'), false);
+	await forwarder.forward(makeRoute(), 'board', new FakeSender([REJECTED, REJECTED]), true);
+	assert.equal(forwarder.canHelp(reject(RejectionCode.NoWorker), 'board'), false);
+	assert.equal(forwarder.canHelp(reject(RejectionCode.NoWorker), 'desk'), true);
+	await cluster.clock.advanceAsync(600);
+	assert.equal(forwarder.canHelp(reject(RejectionCode.NoWorker), 'board'), true);
+});
