fix(entry): a quarantined request is counted once

Only the session counts now. A crash that is held back is settled in one place for each outcome; a comment said that a set was for logging, it tells new quarantines.

--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -158,7 +158,6 @@
 		const crashGuard = new CrashGuard({
 			clock,
 			log,
-			metrics,
 			crashes: this.#crashes,
 			onNews: () => {
 				this.#heartbeats.sendReports();
--- a/packages/entry/src/host/worker-access.ts
+++ b/packages/entry/src/host/worker-access.ts
@@ -104,8 +104,8 @@
 
 	#handleIsolationChange(isIsolated: boolean): void {
 		this.deps.log.warn({event: 'isolation', isIsolated});
-		this.crashDetector.settle(isIsolated);
 		if (isIsolated) {
+			this.crashDetector.settle(true);
 			// Connections that were opened before may be silent.
 			this.pool.close();
 		} else {
--- a/packages/entry/src/request/crash-guard.ts
+++ b/packages/entry/src/request/crash-guard.ts
@@ -3,7 +3,7 @@
 	CrashVerdict, SUSPECT_CRASHES, type CrashTracker, type Worker,
 } from '@apricotwood/steering';
 import {hashText} from '@apricotwood/routing';
-import type {Log, Metrics} from '@apricotwood/telemetry';
+import type {Log} from '@apricotwood/telemetry';
 import type {RequestFingerprint} from './fingerprint.js';
 import {RejectionCode, createNotRunRejection, type Rejection} from './rejection.js';
 
@@ -18,7 +18,6 @@
 export type CrashGuardDeps = {
 	readonly clock: Clock;
 	readonly log: Log;
-	readonly metrics: Metrics;
 	readonly crashes: CrashTracker;
 	/** Called when this host has news for its peers. */
 	readonly onNews: () => void;
@@ -30,7 +29,7 @@
 /** Keeps requests that crash workers from being sent to further ones. */
 export class CrashGuard {
 	readonly #inProgress = new Set<GuardedRequest>();
-	/** Quarantined requests as of the last change, for logging. */
+	/** Quarantined requests as of the last change, to tell new ones. */
 	#quarantined: ReadonlySet<string> = new Set();
 
 	constructor(private readonly deps: CrashGuardDeps) {}
@@ -101,7 +100,7 @@
 	}
 
 	#check({fingerprint}: GuardedRequest): Rejection | undefined {
-		const {crashes, clock, metrics} = this.deps;
+		const {crashes, clock} = this.deps;
 		if (crashes.isEmpty) {
 			return undefined;
 		}
@@ -109,7 +108,6 @@
 		const {value} = fingerprint;
 		switch (crashes.judge(value, clock.monotonic())) {
 			case CrashVerdict.Quarantined: {
-				metrics.count('requests.quarantined');
 				return createQuarantineRejection(fingerprint);
 			}
 
