feat(entry): what a worker says of itself is read with the head of a response, and logged

That it is leaving, and the time for which it wants nothing from this host: from responses to requests and to health checks. The limit that a worker names is read at the same place, so with the head instead of the end of a response.

What each form of Retry-After gets stands in test/adapter/decode: one number of seconds, with or without a fraction, on 503. A date, several values, a sign or a text are ignored.

--- a/packages/entry/src/dialect.ts
+++ b/packages/entry/src/dialect.ts
@@ -16,8 +16,18 @@
 	readonly waiting: number;
 };
 
+/** What a worker says of itself in a response. It binds this host on all paths to the worker, see `WorkerAvailability`. */
+export type WorkerNotice = {
+	/** Whether the worker says that it is leaving. */
+	readonly isDraining: boolean;
+	/** Time for which the worker wants nothing from this host, ms; `undefined` if the response names none. */
+	readonly retryAfterMs: number | undefined;
+	/** Requests per second that the worker accepts from all hosts together, as long as its responses name this limit; `undefined` if this one names none. */
+	readonly rateLimit: number | undefined;
+};
+
 /** What the status and headers of a worker's response say. */
-export type ResponseMetadata = {
+export type ResponseMetadata = WorkerNotice & {
 	/** Request id echoed by the worker; `undefined` when the response carries none. */
 	readonly requestId: string | undefined;
 	/** Whether the response carries a worker's signature header. */
@@ -27,12 +37,10 @@
 	/** Whether a different worker than the requested one now listens on the address. */
 	readonly isOtherWorker: boolean;
 	readonly load: ReportedLoad | undefined;
-	/** Requests per second that the worker accepts from all hosts together, as long as its responses name this limit; `undefined` if this one names none. */
-	readonly rateLimit: number | undefined;
 };
 
 /** Result of a worker's health check. */
-export type HealthCheckResult = {
+export type HealthCheckResult = WorkerNotice & {
 	/** Whether the worker reports itself as healthy; the check passes only if the expected worker has responded, too. */
 	readonly isHealthy: boolean;
 	/** Id of the worker that responded; `undefined` when the response does not name it. */
--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -3,7 +3,7 @@
 } from '@apricotwood/clock';
 import {hashText} from '@apricotwood/routing';
 import {
-	CrashTracker, WarmupLimiter, LoadTracker, Placer, RateLimitTracker, ReportInterval, RetryBudget, TrafficSplitter,
+	BackoffTracker, CrashTracker, DrainTracker, WarmupLimiter, LoadTracker, Placer, RateLimitTracker, ReportInterval, RetryBudget, TrafficSplitter,
 	ServiceTimeEstimator, WaitingRequests, ObjectCacheModel, WorkerRateLimiter, type RetryBudgetOptions,
 } from '@apricotwood/steering';
 import {Supervisor} from '@apricotwood/supervisor';
@@ -29,6 +29,7 @@
 import {ReplicatedState} from '../state/replicated-state.js';
 import {createTcpConnector, type Connector} from '../upstream/connector.js';
 import {ConnectionPool, computeMaxIdleConnections} from '../upstream/pool.js';
+import {WorkerFeedback} from '../upstream/worker-feedback.js';
 import {HostDirectory} from './directory.js';
 import {HostEvent, HostLifecycle, HostPhase} from './phase.js';
 import {Registration} from './registration.js';
@@ -123,6 +124,9 @@
 		const load = new LoadTracker();
 		const countHosts = () => this.members.count;
 		this.#rateLimiter = new WorkerRateLimiter(this.members.hash, this.#rateLimits, nowMs => this.#directory.findSendingHosts(nowMs));
+		const workerFeedback = new WorkerFeedback({
+			clock, log, drains: new DrainTracker(), backoffs: new BackoffTracker(this.members.hash), rateLimits: this.#rateLimits, onDraining() {},
+		});
 		this.#workerAccess = new WorkerAccess({
 			clock,
 			random,
@@ -131,6 +135,7 @@
 			dialect,
 			state: this.state,
 			rateLimiter: this.#rateLimiter,
+			workerFeedback,
 			connector: deps.connector ?? createTcpConnector(),
 			onCrash(worker, fingerprints) {
 				crashGuard.recordCrash(worker, fingerprints);
@@ -193,7 +198,7 @@
 			objectCaches: this.#objectCaches,
 			serviceTimes: this.#serviceTimes,
 			workerHealth: health,
-			rateLimits: this.#rateLimits,
+			workerFeedback,
 			reachability,
 			crashDetector: this.#workerAccess.crashDetector,
 			crashGuard,
--- a/packages/entry/src/host/worker-access.ts
+++ b/packages/entry/src/host/worker-access.ts
@@ -11,6 +11,7 @@
 import {HealthChecker} from '../upstream/health-checker.js';
 import {ConnectionPool} from '../upstream/pool.js';
 import {ReachabilityProber} from '../upstream/reachability-prober.js';
+import type {WorkerFeedback} from '../upstream/worker-feedback.js';
 
 /** Dependencies of `WorkerAccess`. */
 export type WorkerAccessDeps = {
@@ -21,6 +22,7 @@
 	readonly dialect: Dialect;
 	readonly state: ReplicatedState;
 	readonly rateLimiter: WorkerRateLimiter;
+	readonly workerFeedback: WorkerFeedback;
 	readonly connector: Connector;
 	/** Called when a worker has crashed. @param fingerprints requests that ran there. */
 	readonly onCrash: (worker: Worker, fingerprints: readonly string[]) => void;
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,5 +1,5 @@
 export type {
-	ResponseHeaders, ResponseMetadata, RequestMetadata, HealthCheckResult, Dialect, ReportedLoad,
+	ResponseHeaders, ResponseMetadata, RequestMetadata, HealthCheckResult, Dialect, ReportedLoad, WorkerNotice,
 } from './dialect.js';
 export {EntryHost, type EntryDeps, type EntrySettings} from './host/host.js';
 export {HostPhase} from './host/phase.js';
--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -6,7 +6,7 @@
 } from '@apricotwood/steering';
 import type {RequestMetadata} from '../dialect.js';
 import {
-	Exchange, ExchangeEnd, type ExchangeResult, type ResponseHead, type ResponseSink,
+	Exchange, ExchangeEnd, type ExchangeListener, type ExchangeResult, type ResponseHead, type ResponseSink,
 } from '../upstream/exchange.js';
 import type {Connection} from '../upstream/connection.js';
 import type {Member} from '../peer/members.js';
@@ -147,9 +147,15 @@
 	}
 
 	/** Runs the exchange, at the latest until the deadline of the request. */
-	async #exchangeInTime({registration: {id}, hash, region}: Worker, {waitMs}: Placement, connection: Connection, record: AttemptRecord, startAtMs: number): Promise<ExchangeResult> {
-		const {dialect, running, roundTrips} = this.deps;
-		const exchange = this.#createExchange(connection, dialect.buildWorkerHeaders(id, Math.max(1, Math.floor(this.#remainingMs))));
+	async #exchangeInTime(worker: Worker, {waitMs}: Placement, connection: Connection, record: AttemptRecord, startAtMs: number): Promise<ExchangeResult> {
+		const {dialect, running, roundTrips, workerFeedback} = this.deps;
+		const {registration: {id}, hash, region} = worker;
+		const {requestId} = this.request.metadata;
+		const exchange = this.#createExchange(connection, dialect.buildWorkerHeaders(id, Math.max(1, Math.floor(this.#remainingMs))), {
+			onHead({metadata}) {
+				workerFeedback.recordResponse(worker, metadata, {id: requestId, sentAtMs: startAtMs});
+			},
+		});
 		// Two round trips: one to connect and one for the request, also if a connection is reused.
 		const runningAttempt = {worker: hash, startAtMs, expectedMs: this.estimateServiceMs(record.warm) + waitMs + (2 * roundTrips.get(region))};
 		running.add(runningAttempt);
@@ -158,7 +164,7 @@
 		return result;
 	}
 
-	#createExchange(connection: Connection, headers: readonly string[]): Exchange {
+	#createExchange(connection: Connection, headers: readonly string[], listener?: ExchangeListener): Exchange {
 		const {clock, dialect} = this.deps;
 		const {req, metadata} = this.request;
 		return new Exchange(connection, {
@@ -167,7 +173,7 @@
 			headers: [...copyRequestHeaders(req, dialect.managedHeaders), ...this.#createLengthHeader(), ...headers],
 			body: this.#createUpstreamBody(),
 			requestId: metadata.requestId,
-		}, dialect, this.sink, clock);
+		}, dialect, this.sink, clock, listener);
 	}
 
 	/** Runs an exchange, at the latest until the deadline of the request. @param graceMs time after the deadline for the other end to respond if it has received the request. */
@@ -227,18 +233,6 @@
 		this.#mayHaveRun ||= result.mayHaveRun;
 	}
 
-	#recordRateLimit(id: string, hash: number, head: ResponseHead | undefined, nowMs: number): void {
-		const {rateLimits, log} = this.deps;
-		const {isOtherWorker, isSigned, rateLimit} = head?.metadata ?? {};
-		// Only a response that is surely the worker's own shows that it no longer names a limit.
-		const isMeaningful = !isOtherWorker && (isSigned === true || rateLimit !== undefined);
-		if (isMeaningful && rateLimits.recordResponse(hash, rateLimit, nowMs)) {
-			log.info({
-				event: 'worker-limit', worker: id, perSecond: rateLimit, request: this.request.metadata.requestId,
-			});
-		}
-	}
-
 	/** Records the outcome of an attempt: the worker's health and reported load, service times, learned cache capacity, and mismatched responses in the pool. */
 	#recordOutcome(worker: Worker, {cacheState, reuseDistance, waitMs}: Placement, result: ExchangeResult, record: AttemptRecord, networkMs: number): void {
 		const {registration: {id, address, slots}, hash} = worker;
@@ -254,8 +248,6 @@
 			load.recordReport(hash, reported.running + reported.waiting, nowMs);
 		}
 
-		this.#recordRateLimit(id, hash, result.head, nowMs);
-
 		switch (result.end) {
 			case ExchangeEnd.Answered:
 			case ExchangeEnd.Streamed: {
--- a/packages/entry/src/request/session-deps.ts
+++ b/packages/entry/src/request/session-deps.ts
@@ -1,11 +1,12 @@
 import type {Clock, Random} from '@apricotwood/clock';
 import type {
-	RoundTripTimes, LoadTracker, Placer, RateLimitTracker, ReachabilityTracker, ReportInterval, RetryBudget, TrafficSplitter, ServiceTimeEstimator, WaitingRequests, ObjectCacheModel, WorkerHealthTracker,
+	RoundTripTimes, LoadTracker, Placer, ReachabilityTracker, ReportInterval, RetryBudget, TrafficSplitter, ServiceTimeEstimator, WaitingRequests, ObjectCacheModel, WorkerHealthTracker,
 } from '@apricotwood/steering';
 import type {Log, Metrics} from '@apricotwood/telemetry';
 import type {Dialect} from '../dialect.js';
 import type {CrashDetector} from '../upstream/crash-detector.js';
 import type {ConnectionPool} from '../upstream/pool.js';
+import type {WorkerFeedback} from '../upstream/worker-feedback.js';
 import type {CrashGuard} from './crash-guard.js';
 import type {RequestForwarder} from './request-forwarder.js';
 import type {RetryDetector} from './retry-detector.js';
@@ -38,7 +39,7 @@
 	readonly objectCaches: ObjectCacheModel;
 	readonly serviceTimes: ServiceTimeEstimator;
 	readonly workerHealth: WorkerHealthTracker;
-	readonly rateLimits: RateLimitTracker;
+	readonly workerFeedback: WorkerFeedback;
 	readonly reachability: ReachabilityTracker;
 	readonly crashDetector: CrashDetector;
 	readonly crashGuard: CrashGuard;
--- a/packages/entry/src/upstream/exchange.ts
+++ b/packages/entry/src/upstream/exchange.ts
@@ -65,6 +65,12 @@
 	write(chunk: Buffer, resume: () => void): boolean;
 }
 
+/** Takes part in an exchange with a worker. */
+export interface ExchangeListener {
+	/** Called when the head of the response has arrived, also if the response fails later. */
+	onHead(head: ResponseHead): void;
+}
+
 /** Largest response body, in bytes, that is buffered completely before any part is forwarded. */
 export const MAX_BUFFERED_RESPONSE_BYTES = 128 * 1024;
 
@@ -116,6 +122,7 @@
 		private readonly dialect: Dialect,
 		private readonly sink: ResponseSink,
 		private readonly clock: Clock,
+		private readonly listener?: ExchangeListener,
 	) {}
 
 	/** Whether bytes of the request may have reached the worker. */
@@ -192,6 +199,7 @@
 		this.#head = {
 			status, headers, metadata, isFramed: isFramed(this.request.method, status, headers),
 		};
+		this.listener?.onHead(this.#head);
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/packages/entry/src/upstream/health-checker.ts
+++ b/packages/entry/src/upstream/health-checker.ts
@@ -7,6 +7,7 @@
 import type {ReplicatedState} from '../state/replicated-state.js';
 import {Connection} from './connection.js';
 import type {Connector} from './connector.js';
+import type {WorkerFeedback} from './worker-feedback.js';
 
 /** Interval at which this host looks for workers with a due health check, ms. */
 const POLL_INTERVAL_MS = 150;
@@ -21,6 +22,7 @@
 	readonly dialect: Dialect;
 	readonly state: ReplicatedState;
 	readonly workerHealth: WorkerHealthTracker;
+	readonly workerFeedback: WorkerFeedback;
 	readonly rateLimiter: WorkerRateLimiter;
 	readonly reachability: ReachabilityTracker;
 	readonly connector: Connector;
@@ -77,14 +79,18 @@
 		});
 	}
 
-	async #probe({registration: entry}: Worker, path: string, signal: AbortSignal): Promise<{hasPassed: boolean; coldMs: number; message?: string}> {
+	async #probe(worker: Worker, path: string, signal: AbortSignal): Promise<{hasPassed: boolean; coldMs: number; message?: string}> {
+		const {clock, dialect, workerFeedback} = this.deps;
+		const {registration: entry} = worker;
 		const connection = new Connection(entry.address, this.deps.connector);
+		const sentAtMs = clock.monotonic();
 		try {
 			const res = await connection.client.request({
 				method: 'GET', path, signal: AbortSignal.any([signal, AbortSignal.timeout(CHECK_TIMEOUT_MS)]),
 			});
 			await res.body.dump();
-			const result = this.deps.dialect.parseHealthCheck(res.statusCode, res.headers);
+			const result = dialect.parseHealthCheck(res.statusCode, res.headers);
+			workerFeedback.recordHealthCheck(worker, result, sentAtMs);
 			const isSameWorker = result.worker === undefined || result.worker === entry.id;
 			return {hasPassed: result.isHealthy && isSameWorker, coldMs: result.coldMs, message: isSameWorker ? undefined : `the address now belongs to worker ${result.worker}`};
 		} catch (error) {
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -3,6 +3,8 @@
 export {
 	DEFAULT_CALLER_LIMITS, RequestKind, type CallerLimits, type Route, type ServiceShare, type ServiceSpec, type SteeringConfig,
 } from './config.js';
+export {BackoffTracker} from './backoff-tracker.js';
+export {DrainTracker, type DrainReport} from './drain-tracker.js';
 export {RouteTable} from './routes.js';
 export {
 	CrashTracker, CrashVerdict, SUSPECT_CRASHES, type CrashReport,
--- a/test/adapter/decode.test.ts
+++ b/test/adapter/decode.test.ts
@@ -93,7 +93,7 @@
 	assert.deepEqual(codec.parseRequestHeaders({'request-id': 'r', 'request-deadline-ms': '900', 'affinity-key': 'k'}), {requestId: 'r', waitsMs: 900, object: 'k'});
 	assert.equal(codec.parseRequestHeaders({'request-deadline-ms': 'soon'}).waitsMs, undefined);
 	assert.deepEqual(codec.parseResponseHeaders(200, {'server-signature': 's', 'server-load': '3,1,6'}), {
-		requestId: undefined, isSigned: true, isNotRun: false, isOtherWorker: false, load: {running: 3, waiting: 1}, rateLimit: undefined,
+		requestId: undefined, isSigned: true, isNotRun: false, isOtherWorker: false, load: {running: 3, waiting: 1}, rateLimit: undefined, isDraining: false, retryAfterMs: undefined,
 	});
 	for (const [text, perSecond] of [['2.8', 2.8], ['0', 0], ['few', undefined], ['-1', undefined]] as const) {
 		assert.equal(codec.parseResponseHeaders(503, {'server-limit': text}).rateLimit, perSecond);
@@ -102,7 +102,27 @@
 	assert.equal(codec.parseResponseHeaders(421, {}).isOtherWorker, true);
 	assert.equal(codec.parseResponseHeaders(503, {'not-executed': '1'}).isNotRun, true);
 	assert.equal(codec.parseResponseHeaders(200, {'server-load': 'much'}).load, undefined);
-	assert.deepEqual(codec.parseHealthCheck(503, {'instance-id': 'w', 'cold-remaining-ms': '700'}), {isHealthy: false, worker: 'w', coldMs: 700});
+	assert.deepEqual(codec.parseHealthCheck(503, {'instance-id': 'w', 'cold-remaining-ms': '700'}), {
+		isHealthy: false, worker: 'w', coldMs: 700, isDraining: false, retryAfterMs: undefined, rateLimit: undefined,
+	});
+});
+
+test('what a worker says of itself is decoded from responses and health checks alike', () => {
+	const codec = new PlatformHeaderCodec();
+	for (const [text, isDraining] of [['1', true], ['0', false], ['', false], ['yes', false]] as const) {
+		assert.equal(codec.parseResponseHeaders(200, {'server-leaving': text}).isDraining, isDraining);
+		assert.equal(codec.parseHealthCheck(503, {'server-leaving': text}).isDraining, isDraining);
+	}
+
+	const times = [['3', 3000], ['0.25', 250], ['0', 0], ['1000000000', 1e12], ['', undefined], ['-1', undefined], ['1e3', undefined], ['soon', undefined], ['1, 2', undefined], ['Fri, 04 Dec 2026 18:00:00 GMT', undefined]] as const;
+	for (const [text, retryAfterMs] of times) {
+		assert.equal(codec.parseResponseHeaders(503, {'retry-after': text}).retryAfterMs, retryAfterMs);
+		assert.equal(codec.parseHealthCheck(503, {'retry-after': text}).retryAfterMs, retryAfterMs);
+	}
+
+	assert.equal(codec.parseResponseHeaders(503, {'retry-after': ['1', '2']}).retryAfterMs, undefined);
+	assert.equal(codec.parseResponseHeaders(429, {'retry-after': '3'}).retryAfterMs, undefined);
+	assert.equal(codec.parseResponseHeaders(200, {'retry-after': '3'}).retryAfterMs, undefined);
 });
 
 const SETTINGS = {
