refactor(steering): one place decides whether a worker may get something

Placing, health checks, reachability probes and crash detection each asked other trackers for a part of the answer. WorkerAvailability is asked by all of them, with what is to be sent, and returns why not and until when. The soak's breakage of limits moves with the line that it breaks.

--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -144,7 +144,7 @@
 				this.#onIsolationChange(isIsolated);
 			},
 		});
-		const {reachability, roundTrips, health} = this.#workerAccess;
+		const {reachability, roundTrips, health, availability} = this.#workerAccess;
 		this.#directory = new HostDirectory({
 			clock, members: this.members, isolation: this.#isolation, reachability, isReady: () => this.isReady,
 		});
@@ -156,6 +156,7 @@
 			health,
 			roundTrips,
 			warmupLimiter: new WarmupLimiter(hashText(self.id)),
+			availability,
 			rateLimiter: this.#rateLimiter,
 			countHosts,
 			warmupPerSecond: service => this.state.table?.getService(service)?.warmupPerSecond,
--- a/packages/entry/src/host/worker-access.ts
+++ b/packages/entry/src/host/worker-access.ts
@@ -1,7 +1,7 @@
 import type {Clock, Random} from '@apricotwood/clock';
 import {hashText} from '@apricotwood/routing';
 import {
-	AttemptOutcome, ReachabilityTracker, RoundTripTimes, WorkerHealthTracker, type Worker, type WorkerRateLimiter,
+	AttemptOutcome, ReachabilityTracker, RoundTripTimes, WorkerHealthTracker, WorkerAvailability, type Worker, type WorkerRateLimiter,
 } from '@apricotwood/steering';
 import type {Log, Metrics} from '@apricotwood/telemetry';
 import type {Dialect} from '../dialect.js';
@@ -33,6 +33,7 @@
 /** The connections of a host to the workers, and what it learns from them: whether workers are healthy, have crashed, or cannot be reached from here at all. */
 export class WorkerAccess {
 	readonly health = new WorkerHealthTracker();
+	readonly availability: WorkerAvailability;
 	readonly reachability = new ReachabilityTracker();
 	readonly roundTrips = new RoundTripTimes();
 	readonly pool: ConnectionPool;
@@ -41,7 +42,8 @@
 	readonly #prober: ReachabilityProber;
 
 	constructor(private readonly deps: WorkerAccessDeps) {
-		const {state, log, connector} = deps;
+		const {state, log, connector, rateLimiter} = deps;
+		this.availability = new WorkerAvailability({fleet: state.fleet, health: this.health, rateLimiter});
 		this.pool = new ConnectionPool({
 			...deps,
 			onConnect: (worker, durationMs) => {
@@ -55,15 +57,19 @@
 		this.crashDetector = new CrashDetector({
 			log,
 			connector,
+			isLeaving: worker => this.availability.isLeaving(worker),
 			isPathInDoubt: () => this.reachability.isDoubtful,
 			onCrash: (worker, fingerprints) => {
 				this.#handleCrash(worker, fingerprints);
 			},
 		});
-		this.#healthChecker = new HealthChecker({...deps, workerHealth: this.health, reachability: this.reachability});
+		this.#healthChecker = new HealthChecker({
+			...deps, workerHealth: this.health, availability: this.availability, reachability: this.reachability,
+		});
 		this.#prober = new ReachabilityProber({
 			...deps,
 			fleet: state.fleet,
+			availability: this.availability,
 			reachability: this.reachability,
 			onReached: () => {
 				this.#recordReached();
--- a/packages/entry/src/upstream/crash-detector.ts
+++ b/packages/entry/src/upstream/crash-detector.ts
@@ -1,4 +1,4 @@
-import {WorkerState, type Worker} from '@apricotwood/steering';
+import type {Worker} from '@apricotwood/steering';
 import type {Log} from '@apricotwood/telemetry';
 import {ProbeResult, probe, type Connector} from './connector.js';
 
@@ -9,6 +9,8 @@
 export type CrashDetectorDeps = {
 	readonly connector: Connector;
 	readonly log: Log;
+	/** Whether the worker is expected to end. */
+	readonly isLeaving: (worker: Worker) => boolean;
 	/** Whether it is unclear if this host reaches workers at all: a refusal may then come from its path. */
 	readonly isPathInDoubt: () => boolean;
 	/** Called when a worker has crashed. @param fingerprints requests that ran there, the cause among them or not. */
@@ -30,8 +32,8 @@
 
 	/** Records that the connection of a request ended without a response. Ends of a worker that is leaving are expected. */
 	recordBrokenConnection(worker: Worker, fingerprint: string): void {
-		const {id, state} = worker.registration;
-		if (state !== WorkerState.Ready) {
+		const {id} = worker.registration;
+		if (this.deps.isLeaving(worker)) {
 			return;
 		}
 
--- a/packages/entry/src/upstream/health-checker.ts
+++ b/packages/entry/src/upstream/health-checker.ts
@@ -1,6 +1,6 @@
 import {sleep, type Clock} from '@apricotwood/clock';
-import type {
-	ReachabilityTracker, Worker, WorkerHealthTracker, WorkerRateLimiter,
+import {
+	SendPurpose, type ReachabilityTracker, type Worker, type WorkerAvailability, type WorkerHealthTracker,
 } from '@apricotwood/steering';
 import type {Log, Metrics} from '@apricotwood/telemetry';
 import type {Dialect} from '../dialect.js';
@@ -23,7 +23,7 @@
 	readonly state: ReplicatedState;
 	readonly workerHealth: WorkerHealthTracker;
 	readonly workerFeedback: WorkerFeedback;
-	readonly rateLimiter: WorkerRateLimiter;
+	readonly availability: WorkerAvailability;
 	readonly reachability: ReachabilityTracker;
 	readonly connector: Connector;
 };
@@ -32,7 +32,8 @@
  * Runs health checks on workers that could not be reached, timed out or whose
  * address was taken over by another worker; they receive requests again only
  * after a passed check. A worker whose service is not in the configuration is
- * not checked. A check counts against the worker's rate limit, if it names one.
+ * not checked, nor is one that is not available for other reasons. A check counts
+ * against the worker's rate limit, if it names one.
  */
 export class HealthChecker {
 	readonly #inFlight = new Set<string>();
@@ -41,14 +42,14 @@
 
 	/** Runs until the signal is aborted. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, state, workerHealth, rateLimiter, reachability} = this.deps;
+		const {clock, state, workerHealth, availability, reachability} = this.deps;
 		while (!signal.aborted) {
 			const nowMs = clock.monotonic();
 			// The checks would fail while this host reaches no worker.
 			const workers = reachability.isIsolated ? [] : state.fleet.all();
 			for (const worker of workers) {
-				if (workerHealth.isHealthCheckDue(worker.hash, nowMs) && !this.#inFlight.has(worker.registration.id) && rateLimiter.canSend(worker, nowMs)) {
-					rateLimiter.recordSend(worker, nowMs);
+				if (workerHealth.isHealthCheckDue(worker.hash, nowMs) && !this.#inFlight.has(worker.registration.id) && !availability.findObstacle(worker, SendPurpose.HealthCheck, nowMs)) {
+					availability.recordSend(worker, nowMs);
 					void this.#checkWorker(worker, signal);
 				}
 			}
--- a/packages/entry/src/upstream/reachability-prober.ts
+++ b/packages/entry/src/upstream/reachability-prober.ts
@@ -1,5 +1,7 @@
 import {sleep, type Clock, type Random} from '@apricotwood/clock';
-import type {Fleet, ReachabilityTracker, Worker} from '@apricotwood/steering';
+import {
+	SendPurpose, type Fleet, type ReachabilityTracker, type Worker, type WorkerAvailability,
+} from '@apricotwood/steering';
 import type {Metrics} from '@apricotwood/telemetry';
 import {ProbeResult, probe, type Connector} from './connector.js';
 
@@ -14,6 +16,7 @@
 	readonly random: Random;
 	readonly metrics: Metrics;
 	readonly fleet: Fleet;
+	readonly availability: WorkerAvailability;
 	readonly reachability: ReachabilityTracker;
 	readonly connector: Connector;
 	/** Called when a worker accepted a connection. */
@@ -59,8 +62,9 @@
 
 	/** Chooses workers at random, first those that have not failed. */
 	#chooseSample(size: number): Worker[] {
-		const {fleet, reachability, random} = this.deps;
-		const candidates = [...fleet.all()].filter(worker => fleet.isInService(worker))
+		const {clock, fleet, availability, reachability, random} = this.deps;
+		const nowMs = clock.monotonic();
+		const candidates = [...fleet.all()].filter(worker => !availability.findObstacle(worker, SendPurpose.Probe, nowMs))
 			.map(worker => ({worker, order: random.next() + Number(reachability.hasFailed(worker.hash))}));
 		return candidates.toSorted((a, b) => a.order - b.order).slice(0, size).map(({worker}) => worker);
 	}
--- a/packages/experiment/src/host.ts
+++ b/packages/experiment/src/host.ts
@@ -1,7 +1,7 @@
 import type {Clock, Random} from '@apricotwood/clock';
 import {hashText} from '@apricotwood/routing';
 import {
-	WarmupLimiter, RoundTripTimes, Fleet, LoadTracker, Placer, RateLimitTracker, RequestKind, ServiceTimeEstimator, PlacementAction, ObjectCacheModel, WorkerHealthTracker, WorkerRateLimiter, WorkerState,
+	WarmupLimiter, RoundTripTimes, Fleet, LoadTracker, Placer, RateLimitTracker, RequestKind, ServiceTimeEstimator, PlacementAction, ObjectCacheModel, WorkerAvailability, WorkerHealthTracker, WorkerRateLimiter, WorkerState,
 	hashObject, computeWaitUntilMs, type Placement, type WorkerRankingOptions, type Route,
 } from '@apricotwood/steering';
 import type {LoadPattern} from './pattern.js';
@@ -77,14 +77,17 @@
 			this.#distances.record(otherRegion, otherRegion === region ? 0 : pattern.roundTripMs);
 		}
 
+		const health = new WorkerHealthTracker();
+		const rateLimiter = new WorkerRateLimiter(hashText(zone), new RateLimitTracker(), () => ({ready: [], recentCount: 0}));
 		this.#placer = new Placer({region, ...policy}, {
 			fleet,
 			load: this.load,
 			objectCaches: this.warm,
 			serviceTimes: this.#times,
-			health: new WorkerHealthTracker(),
+			health,
+			availability: new WorkerAvailability({fleet, health, rateLimiter}),
 			warmupLimiter: new WarmupLimiter(hashText(zone)),
-			rateLimiter: new WorkerRateLimiter(hashText(zone), new RateLimitTracker(), () => ({ready: [], recentCount: 0})),
+			rateLimiter,
 			roundTrips: this.#distances,
 			countHosts: () => 1,
 			warmupPerSecond: () => undefined,
--- a/packages/soak/src/breakages.ts
+++ b/packages/soak/src/breakages.ts
@@ -40,9 +40,9 @@
 		promise: 'drain',
 	},
 	'ignores-limits': {
-		file: 'packages/steering/src/rate-limiter.ts',
-		from: 'return this.getNextSendMs(worker, nowMs) <= nowMs;',
-		to: 'return true;',
+		file: 'packages/steering/src/worker-availability.ts',
+		from: 'return untilMs <= nowMs ? undefined : {reason: Unavailability.RateLimited, untilMs};',
+		to: 'return undefined;',
 		promise: 'limit',
 	},
 	'keeps-limits-alone': {
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -24,6 +24,9 @@
 export {ReachabilityTracker} from './reachability.js';
 export {RetryBudget, type RetryBudgetOptions} from './retry-budget.js';
 export {ServiceTimeEstimator, type ExpectedTimes} from './service-times.js';
+export {
+	SendPurpose, Unavailability, WorkerAvailability, type Obstacle, type WorkerAvailabilityDeps,
+} from './worker-availability.js';
 export {AttemptOutcome, WorkerHealthTracker} from './worker-health.js';
 export {
 	PlacementAction, PlacementReason, type Placement, type PlacementRequest,
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -5,15 +5,19 @@
 } from './placement.js';
 import type {WorkerRateLimiter} from './rate-limiter.js';
 import type {WarmupLimiter} from './warmup-limiter.js';
+import {
+	SendPurpose, Unavailability, type Obstacle, type WorkerAvailability,
+} from './worker-availability.js';
 import {
 	WorkerEstimator, findCheapest, isLoadBelow, type WorkerEstimate, type WorkerEstimatorDeps,
 } from './worker-estimator.js';
 import {WorkerRanking, type WorkerRankingOptions} from './worker-ranking.js';
 
-/** State that a `Placer` reads; it also records the requests sent to workers that are warming up in `warmupLimiter`, and those sent to workers with a rate limit in `rateLimiter`. */
+/** State that a `Placer` reads; it also records the requests that it sends, in `availability` and, to workers that are warming up, in `warmupLimiter`. */
 export type PlacerDeps = WorkerEstimatorDeps & {
 	readonly fleet: Fleet;
 	readonly warmupLimiter: WarmupLimiter;
+	readonly availability: WorkerAvailability;
 	readonly rateLimiter: WorkerRateLimiter;
 	/** Number of hosts that may send to the same workers, including this one. */
 	readonly countHosts: () => number;
@@ -31,6 +35,12 @@
 const MAX_NEW_COPY_UTILIZATION = 0.85;
 /** Number of tracked objects below which a worker is considered new and gets objects that are cached elsewhere. */
 const NEW_WORKER_TRACKED_OBJECTS = 4;
+/** Worker that may get a request later. */
+type DeferredWorker = {
+	readonly worker: Worker;
+	readonly obstacle: Obstacle;
+};
+
 /** Lower bound of the reported time until a worker is available, ms. */
 const MIN_AVAILABLE_IN_MS = 50;
 /** Reported time until a worker is available when no eligible worker is warmed up, or this host has no share of any rate limit, ms. */
@@ -60,16 +70,24 @@
 
 	/** Places the request at the current time; sending to a worker that is warming up, or that names a rate limit, counts against its limit. */
 	place(req: PlacementRequest, nowMs: number): Placement {
-		const {rateLimiter} = this.deps;
-		const eligible = this.#findEligible(req, nowMs);
-		const sendable = eligible.filter(worker => rateLimiter.canSend(worker, nowMs));
-		if (sendable.length === 0 && eligible.length > 0) {
-			return this.#awaitRateLimit(req, eligible, nowMs);
+		const sendable: Worker[] = [];
+		const deferred: DeferredWorker[] = [];
+		for (const worker of this.#listCandidates(req)) {
+			const obstacle = this.deps.availability.findObstacle(worker, SendPurpose.Request, nowMs);
+			if (!obstacle) {
+				sendable.push(worker);
+			} else if (isTemporary(obstacle)) {
+				deferred.push({worker, obstacle});
+			}
+		}
+
+		if (sendable.length === 0 && deferred.length > 0) {
+			return this.#awaitTurn(req, deferred, nowMs);
 		}
 
 		const placement = this.#choose(req, sendable, nowMs);
 		if (placement.worker) {
-			rateLimiter.recordSend(placement.worker, nowMs);
+			this.deps.availability.recordSend(placement.worker, nowMs);
 		}
 
 		return placement;
@@ -109,13 +127,10 @@
 		return waitOrReject(bestCached ?? findCheapest(estimates)!, req, nowMs);
 	}
 
-	#findEligible({service, route, excludedIds}: PlacementRequest, nowMs: number): Worker[] {
-		const {fleet, health} = this.deps;
-		const {homeRegions} = route;
-		return fleet.listByService(service).filter(worker => fleet.isInService(worker)
-			&& !excludedIds.has(worker.registration.id)
-			&& (homeRegions.length === 0 || homeRegions.includes(worker.region))
-			&& health.isHealthy(worker.hash, nowMs));
+	/** Workers that the request may use, available or not. */
+	#listCandidates({service, route: {homeRegions}, excludedIds}: PlacementRequest): Worker[] {
+		return this.deps.fleet.listByService(service).filter(worker => !excludedIds.has(worker.registration.id)
+			&& (homeRegions.length === 0 || homeRegions.includes(worker.region)));
 	}
 
 	#rank({objectHash, randomKey, service, route}: PlacementRequest, workers: readonly Worker[]): Worker[] {
@@ -166,16 +181,15 @@
 	 * eligible workers: it waits if its turn comes in time. Otherwise it is rejected
 	 * at once.
 	 */
-	#awaitRateLimit(req: PlacementRequest, limited: readonly Worker[], nowMs: number): Placement {
+	#awaitTurn(req: PlacementRequest, deferred: readonly DeferredWorker[], nowMs: number): Placement {
 		const {rateLimiter, serviceTimes, roundTrips} = this.deps;
 		let nextSendMs = Number.POSITIVE_INFINITY;
 		let rate = 0;
 		let region = '';
-		for (const worker of limited) {
-			const sendMs = rateLimiter.getNextSendMs(worker, nowMs);
+		for (const {worker, obstacle: {untilMs}} of deferred) {
 			rate += rateLimiter.getRate(worker, nowMs);
-			if (sendMs < nextSendMs) {
-				nextSendMs = sendMs;
+			if (untilMs < nextSendMs) {
+				nextSendMs = untilMs;
 				({region} = worker);
 			}
 		}
@@ -221,6 +235,11 @@
 	}
 }
 
+/** Whether requests may wait for the end of the obstacle. */
+function isTemporary({reason}: Obstacle): boolean {
+	return reason === Unavailability.RateLimited;
+}
+
 function toSendPlacement({worker, cacheState, reuseDistance, load, waitMs, serviceAndNetworkMs}: WorkerEstimate, reason: PlacementReason): Placement {
 	return {
 		action: PlacementAction.Send, reason, worker, cacheState, reuseDistance, load, waitMs, serviceAndNetworkMs, availableInMs: 0,
--- a/packages/steering/src/rate-limiter.ts
+++ b/packages/steering/src/rate-limiter.ts
@@ -72,12 +72,7 @@
 	 */
 	constructor(private readonly selfHash: number, private readonly limits: RateLimitTracker, private readonly findHosts: (nowMs: number) => SendingHosts) {}
 
-	/** Whether this host may send a request to the worker now. Call `recordSend` when it does. */
-	canSend(worker: Worker, nowMs: number): boolean {
-		return this.getNextSendMs(worker, nowMs) <= nowMs;
-	}
-
-	/** Earliest time at which this host may send a request to the worker; `-Infinity` if the worker names no limit, `Infinity` if this host has no share of it. */
+	/** Earliest time at which this host may send a request to the worker; call `recordSend` when it does. `-Infinity` if the worker names no limit, `Infinity` if this host has no share of it. */
 	getNextSendMs(worker: Worker, nowMs: number): number {
 		const limitedSinceMs = this.limits.getLimitedSinceMs(worker.hash);
 		if (limitedSinceMs === undefined) {
--- a/test/entry/crash-detector.test.ts
+++ b/test/entry/crash-detector.test.ts
@@ -37,6 +37,7 @@
 		detector: new CrashDetector({
 			connector,
 			log: NOOP_LOG,
+			isLeaving: ({registration: {state}}) => state !== WorkerState.Ready,
 			isPathInDoubt: () => fixture.isPathInDoubt,
 			onCrash(worker, fingerprints) {
 				crashes.push([worker.registration.id, fingerprints]);
--- a/test/steering/rate-limiter.test.ts
+++ b/test/steering/rate-limiter.test.ts
@@ -48,7 +48,7 @@
 	for (let nowMs = 0; nowMs < untilMs; nowMs += STEP_MS) {
 		onStep(nowMs);
 		for (const {limiter, isRunning} of hosts) {
-			if (isRunning && limiter.canSend(worker, nowMs)) {
+			if (isRunning && limiter.getNextSendMs(worker, nowMs) <= nowMs) {
 				limiter.recordSend(worker, nowMs);
 				sent.push(nowMs);
 			}
@@ -146,14 +146,14 @@
 	const random = new SeededRandom(1);
 	const hosts = createHosts(random, 10);
 	const worker = createWorker();
-	assert.ok(hosts.every(({limiter}) => limiter.canSend(worker, 0) && limiter.getRate(worker, 0) === Number.POSITIVE_INFINITY));
+	assert.ok(hosts.every(({limiter}) => limiter.getNextSendMs(worker, 0) <= 0 && limiter.getRate(worker, 0) === Number.POSITIVE_INFINITY));
 	for (const host of hosts) {
 		host.limits.recordResponse(worker.hash, 3, 0);
 		host.known = hosts.filter(other => other !== host);
 	}
 
-	assert.ok(hosts.every(({limiter}) => !limiter.canSend(worker, 10_000) && limiter.getRate(worker, 10_000) === 0));
+	assert.ok(hosts.every(({limiter}) => limiter.getNextSendMs(worker, 10_000) > 10_000 && limiter.getRate(worker, 10_000) === 0));
 	const lifted = hosts[0]!;
 	lifted.limits.recordResponse(worker.hash, undefined, 10_000);
-	assert.ok(lifted.limiter.canSend(worker, 10_000));
+	assert.ok(lifted.limiter.getNextSendMs(worker, 10_000) <= 10_000);
 });
