fix(entry): a worker that says in its responses that it is leaving gets nothing more

Cause: leaving was known from the store only. The record shows an unchanged rate on all hosts until the store was back, so no path knew it; a host that knows on some paths only is ruled out by that.

DrainTracker keeps the worker's word with its start, WorkerAvailability applies it on every path, hosts report it to each other while the store does not know. Only a later start of the worker ends it: a registration that still says ready, a removal and return of the entry or a response that overtook another do not.

--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -3,7 +3,7 @@
 } from '@apricotwood/clock';
 import {hashText} from '@apricotwood/routing';
 import {
-	BackoffTracker, CrashTracker, DrainTracker, WarmupLimiter, LoadTracker, Placer, RateLimitTracker, ReportInterval, RetryBudget, TrafficSplitter,
+	CrashTracker, WarmupLimiter, LoadTracker, Placer, RateLimitTracker, ReportInterval, RetryBudget, TrafficSplitter,
 	ServiceTimeEstimator, WaitingRequests, ObjectCacheModel, WorkerRateLimiter, type RetryBudgetOptions,
 } from '@apricotwood/steering';
 import {Supervisor} from '@apricotwood/supervisor';
@@ -13,6 +13,7 @@
 import {CatchUpClient} from '../peer/catch-up.js';
 import {UdpChannel} from '../peer/channel.js';
 import {CrashReports} from '../peer/crash-reports.js';
+import {DrainReports} from '../peer/drain-reports.js';
 import {IsolationReports} from '../peer/isolation-reports.js';
 import {MemberList} from '../peer/members.js';
 import {servePeers} from '../peer/peer-server.js';
@@ -29,7 +30,6 @@
 import {ReplicatedState} from '../state/replicated-state.js';
 import {createTcpConnector, type Connector} from '../upstream/connector.js';
 import {ConnectionPool, computeMaxIdleConnections} from '../upstream/pool.js';
-import {WorkerFeedback} from '../upstream/worker-feedback.js';
 import {HostDirectory} from './directory.js';
 import {HostEvent, HostLifecycle, HostPhase} from './phase.js';
 import {Registration} from './registration.js';
@@ -108,6 +108,7 @@
 		});
 		this.state = new ReplicatedState(clock, log, {
 			onWorkerStart: id => {
+				this.#workerAccess.drains.reset(this.state.fleet.get(id)!);
 				this.#resetWorkerStatistics(id);
 			},
 			onWorkerRemoved: id => {
@@ -124,9 +125,6 @@
 		const load = new LoadTracker();
 		const countHosts = () => this.members.count;
 		this.#rateLimiter = new WorkerRateLimiter(this.members.hash, this.#rateLimits, nowMs => this.#directory.findSendingHosts(nowMs));
-		const workerFeedback = new WorkerFeedback({
-			clock, log, drains: new DrainTracker(), backoffs: new BackoffTracker(this.members.hash), rateLimits: this.#rateLimits, onDraining() {},
-		});
 		this.#workerAccess = new WorkerAccess({
 			clock,
 			random,
@@ -134,17 +132,22 @@
 			metrics,
 			dialect,
 			state: this.state,
+			hostHash: this.members.hash,
+			rateLimits: this.#rateLimits,
 			rateLimiter: this.#rateLimiter,
-			workerFeedback,
 			connector: deps.connector ?? createTcpConnector(),
 			onCrash(worker, fingerprints) {
 				crashGuard.recordCrash(worker, fingerprints);
 			},
+			onDraining: worker => {
+				drainReports.recordOwn(worker);
+				this.#heartbeats.sendReports();
+			},
 			onIsolationChange: isIsolated => {
 				this.#onIsolationChange(isIsolated);
 			},
 		});
-		const {reachability, roundTrips, health, availability} = this.#workerAccess;
+		const {reachability, roundTrips, health, availability, drains} = this.#workerAccess;
 		this.#directory = new HostDirectory({
 			clock, members: this.members, isolation: this.#isolation, reachability, isReady: () => this.isReady,
 		});
@@ -169,7 +172,11 @@
 				this.#heartbeats.sendReports();
 			},
 		});
+		const drainReports = new DrainReports({
+			clock, log, state: this.state, drains,
+		});
 		const reports = new PeerReports([
+			drainReports,
 			new RateLimitReports({
 				clock, log, state: this.state, rateLimits: this.#rateLimits,
 			}),
@@ -199,7 +206,7 @@
 			objectCaches: this.#objectCaches,
 			serviceTimes: this.#serviceTimes,
 			workerHealth: health,
-			workerFeedback,
+			workerFeedback: this.#workerAccess.feedback,
 			reachability,
 			crashDetector: this.#workerAccess.crashDetector,
 			crashGuard,
--- a/packages/entry/src/host/worker-access.ts
+++ b/packages/entry/src/host/worker-access.ts
@@ -1,7 +1,7 @@
 import type {Clock, Random} from '@apricotwood/clock';
 import {hashText} from '@apricotwood/routing';
 import {
-	AttemptOutcome, ReachabilityTracker, RoundTripTimes, WorkerHealthTracker, WorkerAvailability, type Worker, type WorkerRateLimiter,
+	AttemptOutcome, BackoffTracker, DrainTracker, ReachabilityTracker, RoundTripTimes, WorkerHealthTracker, WorkerAvailability, type RateLimitTracker, type Worker, type WorkerRateLimiter,
 } from '@apricotwood/steering';
 import type {Log, Metrics} from '@apricotwood/telemetry';
 import type {Dialect} from '../dialect.js';
@@ -11,7 +11,7 @@
 import {HealthChecker} from '../upstream/health-checker.js';
 import {ConnectionPool} from '../upstream/pool.js';
 import {ReachabilityProber} from '../upstream/reachability-prober.js';
-import type {WorkerFeedback} from '../upstream/worker-feedback.js';
+import {WorkerFeedback} from '../upstream/worker-feedback.js';
 
 /** Dependencies of `WorkerAccess`. */
 export type WorkerAccessDeps = {
@@ -21,11 +21,15 @@
 	readonly metrics: Metrics;
 	readonly dialect: Dialect;
 	readonly state: ReplicatedState;
+	/** Hash of this host's id. */
+	readonly hostHash: number;
+	readonly rateLimits: RateLimitTracker;
 	readonly rateLimiter: WorkerRateLimiter;
-	readonly workerFeedback: WorkerFeedback;
 	readonly connector: Connector;
 	/** Called when a worker has crashed. @param fingerprints requests that ran there. */
 	readonly onCrash: (worker: Worker, fingerprints: readonly string[]) => void;
+	/** Called when a worker has said for the first time that it is leaving. */
+	readonly onDraining: (worker: Worker) => void;
 	/** Called when this host has lost its path to all workers, or reaches one again. */
 	readonly onIsolationChange: (isIsolated: boolean) => void;
 };
@@ -33,7 +37,9 @@
 /** The connections of a host to the workers, and what it learns from them: whether workers are healthy, have crashed, or cannot be reached from here at all. */
 export class WorkerAccess {
 	readonly health = new WorkerHealthTracker();
+	readonly drains = new DrainTracker();
 	readonly availability: WorkerAvailability;
+	readonly feedback: WorkerFeedback;
 	readonly reachability = new ReachabilityTracker();
 	readonly roundTrips = new RoundTripTimes();
 	readonly pool: ConnectionPool;
@@ -43,7 +49,18 @@
 
 	constructor(private readonly deps: WorkerAccessDeps) {
 		const {state, log, connector, rateLimiter} = deps;
-		this.availability = new WorkerAvailability({fleet: state.fleet, health: this.health, rateLimiter});
+		this.availability = new WorkerAvailability({
+			fleet: state.fleet, drains: this.drains, health: this.health, rateLimiter,
+		});
+		this.feedback = new WorkerFeedback({
+			...deps,
+			drains: this.drains,
+			backoffs: new BackoffTracker(deps.hostHash),
+			onDraining: worker => {
+				this.pool.removeWorker(worker.registration.id);
+				deps.onDraining(worker);
+			},
+		});
 		this.pool = new ConnectionPool({
 			...deps,
 			onConnect: (worker, durationMs) => {
@@ -64,7 +81,7 @@
 			},
 		});
 		this.#healthChecker = new HealthChecker({
-			...deps, workerHealth: this.health, availability: this.availability, reachability: this.reachability,
+			...deps, workerHealth: this.health, workerFeedback: this.feedback, availability: this.availability, reachability: this.reachability,
 		});
 		this.#prober = new ReachabilityProber({
 			...deps,
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -25,6 +25,7 @@
 export {PeerReports, type ReportTopic} from './peer/reports.js';
 export {RateLimitReports, decodeRateLimits, encodeRateLimits} from './peer/rate-limit-reports.js';
 export {IsolationReports} from './peer/isolation-reports.js';
+export {DrainReports, type DrainReportsDeps} from './peer/drain-reports.js';
 export {RejectionCode, type Rejection} from './request/rejection.js';
 export {RequestForwarder, type RequestForwarderDeps, type PeerSender} from './request/request-forwarder.js';
 export {CrashReports, decodeCrashes, encodeCrashes} from './peer/crash-reports.js';
@@ -38,7 +39,7 @@
 	ProbeResult, createTcpConnector, probe, type Connector,
 } from './upstream/connector.js';
 export {
-	Exchange, ExchangeEnd, type ResponseHead, type ResponseSink, type ExchangeRequest, type ExchangeResult,
+	Exchange, ExchangeEnd, type ExchangeListener, type ResponseHead, type ResponseSink, type ExchangeRequest, type ExchangeResult,
 } from './upstream/exchange.js';
 export {ConnectionPool, computeMaxIdleConnections} from './upstream/pool.js';
 export {resetSocket, wasResetAtEnd} from './socket.js';
--- a/packages/entry/src/peer/report-codec.ts
+++ b/packages/entry/src/peer/report-codec.ts
@@ -9,6 +9,8 @@
 	Crashes = 'crashes',
 	/** Hosts that reach no worker. */
 	Isolation = 'isolation',
+	/** Workers that have said that they are leaving. */
+	Drains = 'drains',
 }
 
 /** What a host reports to its peers about one kind of subject. */
--- a/packages/experiment/src/host.ts
+++ b/packages/experiment/src/host.ts
@@ -1,7 +1,7 @@
 import type {Clock, Random} from '@apricotwood/clock';
 import {hashText} from '@apricotwood/routing';
 import {
-	WarmupLimiter, RoundTripTimes, Fleet, LoadTracker, Placer, RateLimitTracker, RequestKind, ServiceTimeEstimator, PlacementAction, ObjectCacheModel, WorkerAvailability, WorkerHealthTracker, WorkerRateLimiter, WorkerState,
+	DrainTracker, WarmupLimiter, RoundTripTimes, Fleet, LoadTracker, Placer, RateLimitTracker, RequestKind, ServiceTimeEstimator, PlacementAction, ObjectCacheModel, WorkerAvailability, WorkerHealthTracker, WorkerRateLimiter, WorkerState,
 	hashObject, computeWaitUntilMs, type Placement, type WorkerRankingOptions, type Route,
 } from '@apricotwood/steering';
 import type {LoadPattern} from './pattern.js';
@@ -85,7 +85,9 @@
 			objectCaches: this.warm,
 			serviceTimes: this.#times,
 			health,
-			availability: new WorkerAvailability({fleet, health, rateLimiter}),
+			availability: new WorkerAvailability({
+				fleet, drains: new DrainTracker(), health, rateLimiter,
+			}),
 			warmupLimiter: new WarmupLimiter(hashText(zone)),
 			rateLimiter,
 			roundTrips: this.#distances,
--- a/packages/steering/src/worker-availability.ts
+++ b/packages/steering/src/worker-availability.ts
@@ -1,3 +1,4 @@
+import type {DrainTracker} from './drain-tracker.js';
 import {WorkerState, type Fleet, type Worker} from './fleet.js';
 import type {WorkerRateLimiter} from './rate-limiter.js';
 import type {WorkerHealthTracker} from './worker-health.js';
@@ -32,6 +33,7 @@
 /** State that a `WorkerAvailability` reads. */
 export type WorkerAvailabilityDeps = {
 	readonly fleet: Fleet;
+	readonly drains: DrainTracker;
 	readonly health: WorkerHealthTracker;
 	readonly rateLimiter: WorkerRateLimiter;
 };
@@ -50,7 +52,7 @@
 	/** Finds out why nothing may be sent now. @returns `undefined` if it may be sent; call `recordSend` then. */
 	findObstacle(worker: Worker, purpose: SendPurpose, nowMs: number): Obstacle | undefined {
 		const {fleet, health} = this.deps;
-		if (!fleet.isInService(worker)) {
+		if (!fleet.isInService(worker) || this.isLeaving(worker)) {
 			return OUT_OF_SERVICE;
 		}
 
@@ -62,8 +64,8 @@
 	}
 
 	/** Whether the worker is leaving, so that it gets nothing more and is expected to end. */
-	isLeaving({registration: {state}}: Worker): boolean {
-		return state !== WorkerState.Ready;
+	isLeaving(worker: Worker): boolean {
+		return worker.registration.state !== WorkerState.Ready || this.deps.drains.isDraining(worker);
 	}
 
 	/** Records a request or a health check that is sent. */
--- a/test/entry/draining-workers.test.ts
+++ b/test/entry/draining-workers.test.ts
@@ -53,7 +53,7 @@
 });
 
 // DRAIN: requests reached a worker up to 11 s after hosts had forwarded its word that it was leaving, while the store was away.
-test('a worker whose responses say that it is leaving gets no more requests while the store is away', {todo: 'KNOWN-RED: issue 31'}, async () => {
+test('a worker whose responses say that it is leaving gets no more requests while the store is away', async () => {
 	store.mode = FakeStoreMode.Unresponsive;
 	leaving.isDraining = true;
 	const calls = await applyLoad(hosts, DRAIN_MS + 2500, REQUEST_GAP_MS);
@@ -61,7 +61,7 @@
 	assert.ok(computeServedRatio(calls) >= 0.98, `${computeServedRatio(calls)} of the calls served`);
 });
 
-test('an entry that still says ready does not undo what the worker itself has said', {todo: 'KNOWN-RED: issue 31'}, async () => {
+test('an entry that still says ready does not undo what the worker itself has said', async () => {
 	leaving.isDraining = true;
 	const load = applyLoad(hosts, DRAIN_MS + 2500, REQUEST_GAP_MS);
 	for (let count = 0; count < 8; count++) {
@@ -76,7 +76,7 @@
 	assert.deepEqual(findLateCalls(await load, leaving).map(({id}) => id), []);
 });
 
-test('a host that has heard of the leaving from another one does not use the worker either', {todo: 'KNOWN-RED: issue 31'}, async () => {
+test('a host that has heard of the leaving from another one does not use the worker either', async () => {
 	store.mode = FakeStoreMode.Unresponsive;
 	leaving.isDraining = true;
 	// Only the first host learns it from the worker.
@@ -86,7 +86,7 @@
 	assert.deepEqual(leaving.receivedRequests.filter(({atMs}) => atMs >= fromMs), []);
 });
 
-test('when all workers of a service are leaving, requests are rejected at once', {todo: 'KNOWN-RED: issue 31'}, async () => {
+test('when all workers of a service are leaving, requests are rejected at once', async () => {
 	for (const worker of workers) {
 		worker.isDraining = true;
 	}
--- a/test/entry/exchange.test.ts
+++ b/test/entry/exchange.test.ts
@@ -7,7 +7,7 @@
 import {test} from 'node:test';
 import {SystemClock} from '@apricotwood/clock';
 import {
-	Connection, Exchange, ExchangeEnd, resetSocket, wasResetAtEnd, type ResponseSink, type ExchangeRequest, type ExchangeResult,
+	Connection, Exchange, ExchangeEnd, resetSocket, wasResetAtEnd, type ExchangeListener, type ResponseHead, type ResponseSink, type ExchangeRequest, type ExchangeResult,
 } from '@apricotwood/entry';
 import {PlatformHeaderCodec} from '@apricotwood/platform';
 import {addressOf, listen} from '@apricotwood/platform/standin';
@@ -23,10 +23,10 @@
 /** Upper bound of the bytes in the receive buffers of a worker that reads nothing; the send buffers of this host hold several times as much. */
 const MAX_RECEIVED_BYTES = 1024 * 1024;
 
-async function runExchange(connection: Connection, fields: Partial<ExchangeRequest> = {}): Promise<ExchangeResult> {
+async function runExchange(connection: Connection, fields: Partial<ExchangeRequest> = {}, listener?: ExchangeListener): Promise<ExchangeResult> {
 	return new Exchange(connection, {
 		method: 'GET', path: '/a/', headers: ['Host', 'a.example', 'Request-Id', 'r1'], body: undefined, requestId: 'r1', ...fields,
-	}, new PlatformHeaderCodec(), NOOP_SINK, new SystemClock()).run();
+	}, new PlatformHeaderCodec(), NOOP_SINK, new SystemClock(), listener).run();
 }
 
 type ExchangeCase = {
@@ -318,3 +318,30 @@
 	assert.equal(resets, 400);
 	server.close();
 });
+
+test('exchange: what the head says is known while the body is still on its way, unless it belongs to another request', async () => {
+	const heads: ResponseHead[] = [];
+	const listener: ExchangeListener = {
+		onHead(head) {
+			heads.push(head);
+		},
+	};
+	const worker = await new RawWorker(socket => socket.write(`${OK_HEAD}Server-Leaving: 1\r\nContent-Length: 9\r\n\r\nbody`)).start();
+	const connection = new Connection(worker.address);
+	const exchange = runExchange(connection, {}, listener);
+	for (let tries = 0; heads.length === 0 && tries < 100; tries++) {
+		await new Promise(resolve => { // eslint-disable-line no-await-in-loop
+			setTimeout(resolve, 10);
+		});
+	}
+
+	assert.equal(heads[0]?.metadata.isDraining, true);
+	connection.reset();
+	connection.close();
+	await exchange;
+	await worker.stop();
+	const other = await new RawWorker(socket => socket.write(MISMATCHED_RESPONSE)).start();
+	await runExchange(new Connection(other.address), {}, listener);
+	await other.stop();
+	assert.equal(heads.length, 1);
+});
