fix(entry): a worker that has told a host to wait gets nothing from it before

Cause: Retry-After of a worker was not read; and a repeat could go to the worker that had just rejected the request (290 of 394).

BackoffTracker keeps the time, WorkerAvailability applies it on every path and once more when the connection of a placed request is open. A rejection of this kind is no failure of the worker. Trials first, at different times on different hosts, then all requests. With all workers in backoff, requests are rejected at once with the time of the first.

--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -206,6 +206,7 @@
 			objectCaches: this.#objectCaches,
 			serviceTimes: this.#serviceTimes,
 			workerHealth: health,
+			availability,
 			workerFeedback: this.#workerAccess.feedback,
 			reachability,
 			crashDetector: this.#workerAccess.crashDetector,
--- a/packages/entry/src/host/worker-access.ts
+++ b/packages/entry/src/host/worker-access.ts
@@ -38,6 +38,7 @@
 export class WorkerAccess {
 	readonly health = new WorkerHealthTracker();
 	readonly drains = new DrainTracker();
+	readonly backoffs: BackoffTracker;
 	readonly availability: WorkerAvailability;
 	readonly feedback: WorkerFeedback;
 	readonly reachability = new ReachabilityTracker();
@@ -49,13 +50,14 @@
 
 	constructor(private readonly deps: WorkerAccessDeps) {
 		const {state, log, connector, rateLimiter} = deps;
+		this.backoffs = new BackoffTracker(deps.hostHash);
 		this.availability = new WorkerAvailability({
-			fleet: state.fleet, drains: this.drains, health: this.health, rateLimiter,
+			fleet: state.fleet, drains: this.drains, backoffs: this.backoffs, health: this.health, rateLimiter,
 		});
 		this.feedback = new WorkerFeedback({
 			...deps,
 			drains: this.drains,
-			backoffs: new BackoffTracker(deps.hostHash),
+			backoffs: this.backoffs,
 			onDraining: worker => {
 				this.pool.removeWorker(worker.registration.id);
 				deps.onDraining(worker);
--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -2,7 +2,7 @@
 import type {IncomingMessage} from 'node:http';
 import {Readable} from 'node:stream';
 import {
-	AttemptOutcome, CacheState, RequestKind, type Placement, type Route, type Worker,
+	AttemptOutcome, CacheState, RequestKind, SendPurpose, type Placement, type Route, type Worker,
 } from '@apricotwood/steering';
 import type {RequestMetadata} from '../dialect.js';
 import {
@@ -148,10 +148,11 @@
 
 	/** Runs the exchange, at the latest until the deadline of the request. */
 	async #exchangeInTime(worker: Worker, {waitMs}: Placement, connection: Connection, record: AttemptRecord, startAtMs: number): Promise<ExchangeResult> {
-		const {dialect, running, roundTrips, workerFeedback} = this.deps;
+		const {clock, dialect, running, roundTrips, availability, workerFeedback} = this.deps;
 		const {registration: {id}, hash, region} = worker;
 		const {requestId} = this.request.metadata;
 		const exchange = this.#createExchange(connection, dialect.buildWorkerHeaders(id, Math.max(1, Math.floor(this.#remainingMs))), {
+			canSend: () => !availability.findObstacle(worker, SendPurpose.PlacedRequest, clock.monotonic()),
 			onHead({metadata}) {
 				workerFeedback.recordResponse(worker, metadata, {id: requestId, sentAtMs: startAtMs});
 			},
@@ -268,6 +269,10 @@
 				break;
 			}
 
+			case ExchangeEnd.Withdrawn: {
+				break;
+			}
+
 			case ExchangeEnd.Unreachable: {
 				workerHealth.recordAttempt(hash, AttemptOutcome.Unreachable, nowMs);
 				break;
@@ -310,6 +315,10 @@
 		return AttemptOutcome.Replaced;
 	}
 
+	if (metadata.retryAfterMs !== undefined && metadata.retryAfterMs > 0) {
+		return AttemptOutcome.Backoff;
+	}
+
 	if (metadata.isNotRun) {
 		return AttemptOutcome.Shed;
 	}
--- a/packages/entry/src/request/rejection.ts
+++ b/packages/entry/src/request/rejection.ts
@@ -14,6 +14,8 @@
 	Late = 'late',
 	/** All eligible workers name a rate limit, and the share of this host is used up. */
 	RateLimited = 'rate-limited',
+	/** All eligible workers have told this host to wait. */
+	Backoff = 'backoff',
 	/** Workers crashed while they ran the request; it is not sent to further ones. */
 	Quarantined = 'quarantined',
 	/** Workers crashed while they ran the request, and another copy of it is in progress. */
--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -23,8 +23,13 @@
 /** Base of `Retry-After` when no attempt has run the request: each was shed, reached another worker or found no connection, ms. */
 const SHED_RETRY_AFTER_MS = 50;
 const REJECTION_CODES: Partial<Record<PlacementReason, RejectionCode>> = {
-	[PlacementReason.Late]: RejectionCode.Late, [PlacementReason.Full]: RejectionCode.Full, [PlacementReason.RateLimited]: RejectionCode.RateLimited,
+	[PlacementReason.Late]: RejectionCode.Late,
+	[PlacementReason.Full]: RejectionCode.Full,
+	[PlacementReason.RateLimited]: RejectionCode.RateLimited,
+	[PlacementReason.Backoff]: RejectionCode.Backoff,
 };
+/** Ends of attempts that do not count, as nothing was sent. */
+const UNSENT_ENDS: ReadonlySet<ExchangeEnd> = new Set([ExchangeEnd.Unreachable, ExchangeEnd.Withdrawn]);
 /** Result when no other host has received a request that was to be passed on. */
 const NOT_FORWARDED = Symbol('not forwarded');
 
@@ -204,7 +209,7 @@
 
 			const {worker} = placement;
 			if (!worker) {
-				return failure ?? this.#createPlacementRejection(placement);
+				return this.#rejectPlacement(placement, failure, sender);
 			}
 
 			if (sentCount > 0 && !this.deps.retryBudget.tryTake(this.#service, this.deps.countHosts(), this.deps.clock.monotonic())) {
@@ -212,7 +217,7 @@
 			}
 
 			const result = await sender.send(worker, placement); // eslint-disable-line no-await-in-loop
-			sentCount += result.end === ExchangeEnd.Unreachable ? 0 : 1;
+			sentCount += UNSENT_ENDS.has(result.end) ? 0 : 1;
 			const isDone = this.#forwardResponse(result, sender);
 			if (isDone) {
 				return undefined;
@@ -240,7 +245,7 @@
 		}
 
 		const isRepeatable = !sender.mayHaveRun || (this.route.kind === RequestKind.Idempotent && this.deps.crashGuard.canRetry(guarded, sender.brokenAttempts));
-		// `#tryWorkers` does not count attempts without a connection, so the number of all attempts is bounded here: at most `maxAttempts` + 3.
+		// `#tryWorkers` does not count attempts that sent nothing, so the number of all attempts is bounded here: at most `maxAttempts` + 3.
 		return isRepeatable && !this.#hasCallerLeft && this.#remainingMs >= MIN_ATTEMPT_MS && sender.records.length <= this.route.maxAttempts + 2;
 	}
 
@@ -313,6 +318,12 @@
 		return createNotRunRejection(end === ExchangeEnd.Unreachable ? RejectionCode.Unreachable : RejectionCode.Shed, 'no worker has run the request', this.#computeRetryAfterMs(SHED_RETRY_AFTER_MS));
 	}
 
+	/** Rejects a request that no worker may get now. A caller whose request has not run is told when the first worker wants requests again, rather than how the last attempt failed. */
+	#rejectPlacement(placement: Placement, failure: Rejection | undefined, {mayHaveRun}: AttemptSender): Rejection {
+		const isBackoffKnown = placement.reason === PlacementReason.Backoff && !mayHaveRun;
+		return failure && !isBackoffKnown ? failure : this.#createPlacementRejection(placement);
+	}
+
 	#createPlacementRejection({reason, availableInMs, load, waitMs, serviceAndNetworkMs}: Placement): Rejection {
 		const message = `no capacity (${reason}): ${load} requests at the evaluated worker, ${Math.round(waitMs)} ms to wait, ${Math.round(serviceAndNetworkMs)} ms of work (all 0 if none was evaluated)`;
 		return createNotRunRejection(REJECTION_CODES[reason] ?? RejectionCode.NoWorker, message, this.#computeRetryAfterMs(availableInMs));
--- a/packages/entry/src/upstream/exchange.ts
+++ b/packages/entry/src/upstream/exchange.ts
@@ -35,6 +35,8 @@
 	Truncated = 'cut',
 	/** No connection could be opened; nothing was sent. */
 	Unreachable = 'unreachable',
+	/** The listener withdrew the request when it could be sent; nothing was sent. */
+	Withdrawn = 'withdrawn',
 	/** The connection broke, or the response was invalid or incomplete, after request bytes may have been sent. */
 	Broken = 'broken',
 	/** The response belongs to another request. */
@@ -67,6 +69,8 @@
 
 /** Takes part in an exchange with a worker. */
 export interface ExchangeListener {
+	/** Called when the connection is open, before anything is sent. @returns whether the request may still be sent. */
+	canSend(): boolean;
 	/** Called when the head of the response has arrived, also if the response fails later. */
 	onHead(head: ResponseHead): void;
 }
@@ -167,6 +171,12 @@
 			return;
 		}
 
+		if (this.listener && !this.listener.canSend()) {
+			this.#settle(ExchangeEnd.Withdrawn, 'the worker became unavailable before the request was sent', false);
+			controller.abort(new Error('request was withdrawn'));
+			return;
+		}
+
 		this.#wasSent = true;
 	}
 
--- a/packages/experiment/src/host.ts
+++ b/packages/experiment/src/host.ts
@@ -1,7 +1,7 @@
 import type {Clock, Random} from '@apricotwood/clock';
 import {hashText} from '@apricotwood/routing';
 import {
-	DrainTracker, WarmupLimiter, RoundTripTimes, Fleet, LoadTracker, Placer, RateLimitTracker, RequestKind, ServiceTimeEstimator, PlacementAction, ObjectCacheModel, WorkerAvailability, WorkerHealthTracker, WorkerRateLimiter, WorkerState,
+	BackoffTracker, DrainTracker, WarmupLimiter, RoundTripTimes, Fleet, LoadTracker, Placer, RateLimitTracker, RequestKind, ServiceTimeEstimator, PlacementAction, ObjectCacheModel, WorkerAvailability, WorkerHealthTracker, WorkerRateLimiter, WorkerState,
 	hashObject, computeWaitUntilMs, type Placement, type WorkerRankingOptions, type Route,
 } from '@apricotwood/steering';
 import type {LoadPattern} from './pattern.js';
@@ -86,7 +86,7 @@
 			serviceTimes: this.#times,
 			health,
 			availability: new WorkerAvailability({
-				fleet, drains: new DrainTracker(), health, rateLimiter,
+				fleet, drains: new DrainTracker(), backoffs: new BackoffTracker(hashText(zone)), health, rateLimiter,
 			}),
 			warmupLimiter: new WarmupLimiter(hashText(zone)),
 			rateLimiter,
--- a/packages/steering/src/backoff-tracker.ts
+++ b/packages/steering/src/backoff-tracker.ts
@@ -9,10 +9,12 @@
 	readonly untilMs: number;
 	/** Earliest time of the next trial; counts once the backoff is over. */
 	nextTrialMs: number;
+	/** Time between two trials, ms. */
+	readonly trialIntervalMs: number;
 };
 
-/** Time between two trials after a backoff, ms. */
-const TRIAL_INTERVAL_MS = 500;
+/** Longest time between two trials after a backoff, ms. After a shorter backoff it is as long as this was. */
+const MAX_TRIAL_INTERVAL_MS = 500;
 /** Longest delay by which the hosts return at different times, ms, and its ratio to the backoff. */
 const MAX_SPREAD_MS = 500;
 const SPREAD_RATIO = 0.2;
@@ -55,7 +57,9 @@
 
 		const previousEndMs = previous?.bornMs === bornMs ? previous.untilMs : Number.NEGATIVE_INFINITY;
 		const untilMs = Math.max(previousEndMs, nowMs + retryAfterMs + this.#computeSpreadMs(hash, retryAfterMs));
-		this.#put(hash, {bornMs, untilMs, nextTrialMs: untilMs});
+		this.#put(hash, {
+			bornMs, untilMs, nextTrialMs: untilMs, trialIntervalMs: Math.min(MAX_TRIAL_INTERVAL_MS, retryAfterMs),
+		});
 		return previousEndMs <= nowMs;
 	}
 
@@ -71,7 +75,7 @@
 	recordSend(worker: Worker, nowMs: number): void {
 		const backoff = this.#get(worker);
 		if (backoff) {
-			backoff.nextTrialMs = nowMs + TRIAL_INTERVAL_MS;
+			backoff.nextTrialMs = nowMs + backoff.trialIntervalMs;
 		}
 	}
 
--- a/packages/steering/src/placement.ts
+++ b/packages/steering/src/placement.ts
@@ -60,8 +60,10 @@
 	Full = 'full',
 	/** The request has waited too long, or could not be answered in time. */
 	Late = 'late',
-	/** All eligible workers name a rate limit, and this host may not send to any of them now. */
+	/** All eligible workers name a rate limit or have told this host to wait, and the first one that it may use again names a limit. */
 	RateLimited = 'rate-limited',
+	/** The same, but the first one has told this host to wait. */
+	Backoff = 'backoff',
 }
 
 /** Result of a placement. */
--- a/packages/steering/src/placer.ts
+++ b/packages/steering/src/placer.ts
@@ -178,19 +178,22 @@
 
 	/**
 	 * Places a request when this host has used up its shares of the rate limits of all
-	 * eligible workers: it waits if its turn comes in time. Otherwise it is rejected
-	 * at once.
+	 * eligible workers, or these have told it to wait: the request waits if its turn
+	 * comes in time. Otherwise it is rejected at once.
 	 */
 	#awaitTurn(req: PlacementRequest, deferred: readonly DeferredWorker[], nowMs: number): Placement {
 		const {rateLimiter, serviceTimes, roundTrips} = this.deps;
 		let nextSendMs = Number.POSITIVE_INFINITY;
 		let rate = 0;
 		let region = '';
-		for (const {worker, obstacle: {untilMs}} of deferred) {
+		let reason = PlacementReason.RateLimited;
+		for (const {worker, obstacle} of deferred) {
+			const {untilMs} = obstacle;
 			rate += rateLimiter.getRate(worker, nowMs);
 			if (untilMs < nextSendMs) {
 				nextSendMs = untilMs;
 				({region} = worker);
+				reason = obstacle.reason === Unavailability.Backoff ? PlacementReason.Backoff : PlacementReason.RateLimited;
 			}
 		}
 
@@ -199,7 +202,7 @@
 		const canWait = turnMs <= req.waitUntilMs && turnMs + serviceAndNetworkMs <= computeLatestMs(req);
 		return {
 			action: canWait ? PlacementAction.Wait : PlacementAction.Reject,
-			reason: PlacementReason.RateLimited,
+			reason,
 			worker: undefined,
 			cacheState: CacheState.NotCached,
 			reuseDistance: undefined,
@@ -237,7 +240,7 @@
 
 /** Whether requests may wait for the end of the obstacle. */
 function isTemporary({reason}: Obstacle): boolean {
-	return reason === Unavailability.RateLimited;
+	return reason === Unavailability.RateLimited || reason === Unavailability.Backoff;
 }
 
 function toSendPlacement({worker, cacheState, reuseDistance, load, waitMs, serviceAndNetworkMs}: WorkerEstimate, reason: PlacementReason): Placement {
--- a/packages/steering/src/worker-availability.ts
+++ b/packages/steering/src/worker-availability.ts
@@ -1,3 +1,4 @@
+import type {BackoffTracker} from './backoff-tracker.js';
 import type {DrainTracker} from './drain-tracker.js';
 import {WorkerState, type Fleet, type Worker} from './fleet.js';
 import type {WorkerRateLimiter} from './rate-limiter.js';
@@ -7,6 +8,8 @@
 export enum SendPurpose {
 	/** A request that is being placed. */
 	Request = 'request',
+	/** A request that was placed before and can be sent now, as its connection is open. */
+	PlacedRequest = 'placed-request',
 	/** A health check. */
 	HealthCheck = 'health-check',
 	/** A connection without a request, to find out whether the worker can be reached. */
@@ -19,6 +22,8 @@
 	OutOfService = 'out-of-service',
 	/** Attempts have failed, and no health check has passed since. */
 	Unhealthy = 'unhealthy',
+	/** The worker has told this host to wait. */
+	Backoff = 'backoff',
 	/** This host has used up its share of the limit that the worker names. */
 	RateLimited = 'rate-limited',
 }
@@ -34,6 +39,7 @@
 export type WorkerAvailabilityDeps = {
 	readonly fleet: Fleet;
 	readonly drains: DrainTracker;
+	readonly backoffs: BackoffTracker;
 	readonly health: WorkerHealthTracker;
 	readonly rateLimiter: WorkerRateLimiter;
 };
@@ -60,7 +66,14 @@
 			return UNHEALTHY;
 		}
 
-		return purpose === SendPurpose.Probe ? undefined : this.#findRateLimit(worker, nowMs);
+		// A request that was placed before has counted as a trial and as a turn already.
+		const isCounted = purpose === SendPurpose.PlacedRequest;
+		const backoffEndMs = isCounted ? this.deps.backoffs.getEndMs(worker) : this.deps.backoffs.getNextSendMs(worker);
+		if (backoffEndMs > nowMs) {
+			return {reason: Unavailability.Backoff, untilMs: backoffEndMs};
+		}
+
+		return isCounted || purpose === SendPurpose.Probe ? undefined : this.#findRateLimit(worker, nowMs);
 	}
 
 	/** Whether the worker is leaving, so that it gets nothing more and is expected to end. */
@@ -71,6 +84,7 @@
 	/** Records a request or a health check that is sent. */
 	recordSend(worker: Worker, nowMs: number): void {
 		this.deps.rateLimiter.recordSend(worker, nowMs);
+		this.deps.backoffs.recordSend(worker, nowMs);
 	}
 
 	#findRateLimit(worker: Worker, nowMs: number): Obstacle | undefined {
--- a/packages/steering/src/worker-health.ts
+++ b/packages/steering/src/worker-health.ts
@@ -5,6 +5,8 @@
 	Failed = 'failed',
 	/** The worker shed the request. A worker may shed some requests while it has free slots, so it continues to get requests. */
 	Shed = 'shed',
+	/** The worker rejected the request and told this host to wait, see `BackoffTracker`; this says nothing of its health. */
+	Backoff = 'backoff',
 	/** No connection could be opened, the attempt timed out, or a health check failed. */
 	Unreachable = 'unreachable',
 	/** The address now belongs to another worker. */
@@ -65,6 +67,10 @@
 				break;
 			}
 
+			case AttemptOutcome.Backoff: {
+				break;
+			}
+
 			case AttemptOutcome.Unreachable:
 			case AttemptOutcome.Replaced: {
 				record.unreachableSinceSuccess++;
--- a/test/entry/exchange.test.ts
+++ b/test/entry/exchange.test.ts
@@ -322,6 +322,7 @@
 test('exchange: what the head says is known while the body is still on its way, unless it belongs to another request', async () => {
 	const heads: ResponseHead[] = [];
 	const listener: ExchangeListener = {
+		canSend: () => true,
 		onHead(head) {
 			heads.push(head);
 		},
@@ -345,3 +346,16 @@
 	await other.stop();
 	assert.equal(heads.length, 1);
 });
+
+// A connection that opens late would carry a request to a worker that has told this host to wait meanwhile.
+test('exchange: a request that was placed before the worker became unavailable is withdrawn when its connection opens', async () => {
+	const worker = await new RawWorker(socket => socket.write(`${OK_HEAD}Content-Length: 4\r\n\r\nbody`)).start();
+	const connection = new Connection(worker.address);
+	const {end, mayHaveRun} = await runExchange(connection, {}, {canSend: () => false, onHead() {}});
+	connection.close();
+	assert.equal(end, ExchangeEnd.Withdrawn);
+	assert.equal(mayHaveRun, false);
+	assert.equal(worker.connections, 1);
+	assert.deepEqual(worker.requestHeads, []);
+	await worker.stop();
+});
