feat(soak): workers that leave by their own word, and workers that tell hosts to wait

Two kinds of faults, a promise for each (leaving, backoff) that holds also while the store is away, and a breakage for each that breaks it.

--- a/packages/soak/src/breakages.ts
+++ b/packages/soak/src/breakages.ts
@@ -45,6 +45,18 @@
 		to: 'return undefined;',
 		promise: 'limit',
 	},
+	'ignores-leaving': {
+		file: 'packages/steering/src/worker-availability.ts',
+		from: ' || this.deps.drains.isDraining(worker);',
+		to: ';',
+		promise: 'leaving',
+	},
+	'ignores-backoff': {
+		file: 'packages/steering/src/worker-availability.ts',
+		from: 'if (backoffEndMs > nowMs) {',
+		to: 'if (backoffEndMs === 0) {',
+		promise: 'backoff',
+	},
 	'keeps-limits-alone': {
 		file: 'packages/entry/src/host/directory.ts',
 		from: 'const ready = isolation.listServing(nowMs).map(({hash, entry: {region}}) => ({hash, region}));',
--- a/packages/soak/src/environment.ts
+++ b/packages/soak/src/environment.ts
@@ -11,7 +11,7 @@
 import {Link, LinkState} from './proxy.js';
 import {WorkerLinks} from './worker-links.js';
 import {
-	createRecords, type ChangeNotice, type CrashingRequest, type Disturbance, type LimitPeriod, type SoakRecords,
+	createRecords, type ChangeNotice, type CrashingRequest, type Disturbance, type SoakRecords, type WorkerPeriod,
 } from './records.js';
 
 /** Size and files of an environment. */
@@ -202,13 +202,13 @@
 		return disturbance;
 	}
 
-	/** Records that a worker names a limit from now on; the caller sets the end. */
-	recordLimit(worker: string, perSecond: number): LimitPeriod {
-		const period: LimitPeriod = {
-			worker, perSecond, fromMs: Date.now(), untilMs: Number.POSITIVE_INFINITY,
+	/** Records in `periods` that a worker says something of itself from now on. @returns a function that ends it. */
+	recordPeriod<T extends WorkerPeriod>(periods: T[], fields: Omit<T, 'fromMs' | 'untilMs'>): () => void {
+		const period = {...fields, fromMs: Date.now(), untilMs: Number.POSITIVE_INFINITY} as T;
+		periods.push(period);
+		return () => {
+			period.untilMs = Date.now();
 		};
-		this.records.limits.push(period);
-		return period;
 	}
 
 	/** Records a new request that crashes workers, which callers send from now on; the caller sets the end. */
--- a/packages/soak/src/fault-injection.ts
+++ b/packages/soak/src/fault-injection.ts
@@ -18,6 +18,10 @@
 /** Bounds of the limits that workers name, requests per second. */
 const MIN_RATE_LIMIT = 0.5;
 const MAX_RATE_LIMIT = 6;
+/** Bounds of the times that workers tell hosts to wait, ms. */
+const MIN_RETRY_AFTER_MS = 100;
+const MAX_RETRY_AFTER_MS = 4000;
+const MS_PER_SECOND = 1000;
 /** Variants of `FaultKind.HostIsolated` from which a whole zone is cut off, from 0 to 1. */
 const WHOLE_ZONE_FROM = 2 / 3;
 /** Longest time until what a restored store has lost is written again, ms. */
@@ -70,6 +74,8 @@
 	[FaultKind.WorkerFails]: async (environment, fault) => failWorker(environment, fault, pick(WORKER_FAULTS, fault.how)),
 	[FaultKind.WorkerEndless]: async (environment, fault) => failWorker(environment, fault, pick(ENDLESS_FAULTS, fault.how)),
 	[FaultKind.WorkerLimit]: limitWorker,
+	[FaultKind.WorkerLeaving]: leaveByResponse,
+	[FaultKind.WorkerBackoff]: rejectWithBackoff,
 	[FaultKind.WorkerDrain]: async (environment, fault) => withdrawWorker(environment, fault, 'draining', endpoint => {
 		endpoint.register('draining');
 	}),
@@ -202,12 +208,44 @@
 	}
 
 	worker.rateLimit = MIN_RATE_LIMIT + ((MAX_RATE_LIMIT - MIN_RATE_LIMIT) * fault.how);
-	const period = environment.recordLimit(id, worker.rateLimit);
+	const end = environment.recordPeriod(environment.records.limits, {worker: id, perSecond: worker.rateLimit});
 	await pause(fault.forMs);
-	period.untilMs = Date.now();
+	end();
 	worker.rateLimit = undefined;
 }
 
+/** Makes a worker say in its responses that it is leaving, while its entry in the store stays, and start again after the duration of the fault. */
+async function leaveByResponse(environment: SoakEnvironment, fault: Fault): Promise<void> {
+	const endpoint = selectEndpoint(environment, fault);
+	if (endpoint.isLeaving) {
+		return;
+	}
+
+	endpoint.isLeaving = true;
+	endpoint.worker.isDraining = true;
+	const end = environment.recordPeriod(environment.records.leavings, {worker: endpoint.id});
+	await pause(fault.forMs);
+	end();
+	endpoint.worker.isDraining = false;
+	endpoint.registerNewIncarnation();
+	endpoint.isLeaving = false;
+}
+
+/** Makes a worker reject all requests and tell the hosts to wait, for the duration of the fault. */
+async function rejectWithBackoff(environment: SoakEnvironment, fault: Fault): Promise<void> {
+	const {worker, id} = selectEndpoint(environment, fault);
+	if (worker.retryAfter !== undefined) {
+		return;
+	}
+
+	const retryAfterMs = Math.round(MIN_RETRY_AFTER_MS + ((MAX_RETRY_AFTER_MS - MIN_RETRY_AFTER_MS) * fault.how));
+	worker.retryAfter = String(retryAfterMs / MS_PER_SECOND);
+	const end = environment.recordPeriod(environment.records.backoffs, {worker: id, retryAfterMs});
+	await pause(fault.forMs);
+	end();
+	worker.retryAfter = undefined;
+}
+
 async function disturbLink(environment: SoakEnvironment, fault: Fault, link: Pick<Link, 'startFault'>, subject: string): Promise<void> {
 	await withDisturbance(environment, fault, subject, async () => {
 		const endFault = link.startFault(pick(LINK_FAULTS, fault.how));
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -36,6 +36,10 @@
 	WorkerGone = 'worker-gone',
 	/** The worker names a limit of requests per second in its responses. */
 	WorkerLimit = 'worker-limit',
+	/** The worker says in its responses that it is leaving; its entry in the store says otherwise. It starts again after the duration. */
+	WorkerLeaving = 'worker-leaving',
+	/** The worker rejects requests and tells the hosts to wait. */
+	WorkerBackoff = 'worker-backoff',
 	/** Callers send a request that crashes each worker which runs it; the worker is back after a second. */
 	CrashingRequest = 'crashing-request',
 	/** A worker of another service responds at the worker's address. */
@@ -62,7 +66,7 @@
 };
 
 /** Groups of kinds that were added later. Each is drawn after all before it, so that a seed still gives the faults that it gave before. */
-const LATER_KINDS = [[FaultKind.StoreRestore, FaultKind.WorkerEndless], [FaultKind.WorkerLimit], [FaultKind.CrashingRequest], [FaultKind.HostIsolated]];
+const LATER_KINDS = [[FaultKind.StoreRestore, FaultKind.WorkerEndless], [FaultKind.WorkerLimit], [FaultKind.CrashingRequest], [FaultKind.HostIsolated], [FaultKind.WorkerLeaving, FaultKind.WorkerBackoff]];
 /** Kinds to choose from; a repeated kind is chosen more often. Worker faults have the highest weight because they have the most variants. */
 const WEIGHTED_KINDS = [...Object.values(FaultKind).filter(kind => !LATER_KINDS.flat().includes(kind)), FaultKind.WorkerFails, FaultKind.WorkerFails, FaultKind.WorkerDrain, FaultKind.WorkerGone, FaultKind.ConfigChange];
 /** Mean time between the starts of consecutive faults, ms. */
@@ -74,7 +78,7 @@
 const MAX_DURATION_MS = 4000;
 /** Additional duration of faults to which hosts must react within a time limit, ms. Makes the fault last longer than the limit, so that a late reaction is visible. */
 const EXTRA_DURATION_MS: Partial<Record<FaultKind, number>> = {
-	[FaultKind.WorkerDrain]: 3000, [FaultKind.WorkerGone]: 3000, [FaultKind.Evacuation]: 5500, [FaultKind.WorkerLimit]: 8000, [FaultKind.CrashingRequest]: 6000, [FaultKind.HostIsolated]: 5000,
+	[FaultKind.WorkerDrain]: 3000, [FaultKind.WorkerGone]: 3000, [FaultKind.Evacuation]: 5500, [FaultKind.WorkerLimit]: 8000, [FaultKind.WorkerLeaving]: 5000, [FaultKind.WorkerBackoff]: 4000, [FaultKind.CrashingRequest]: 6000, [FaultKind.HostIsolated]: 5000,
 };
 /** Probability that a fault keeps the kind of the previous one without choosing again. */
 const REPEAT_PROBABILITY = 0.25;
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -7,6 +7,7 @@
 	CallEnd, CallKind, findMaxLagMs, isUndisturbed, type ChangeNotice, type SoakRecords,
 } from './records.js';
 import type {Violation} from './violation.js';
+import {checkBackoffs, checkLeavings} from './worker-notices.js';
 
 /** Time limit for hosts to stop using a worker that drains or has left, ms. */
 const DRAIN_LIMIT_MS = 2500;
@@ -39,7 +40,7 @@
 
 /** Promises with a time limit, by name. They are checked only where no fault had an influence. */
 export const TIMED_PROMISES = {
-	drain: checkDrain, gone: checkGone, limit: checkRateLimits, crash: checkCrashes, isolated: checkIsolation, config: checkConfig, stop: checkStops, late: checkLate, recover: checkRecovery,
+	drain: checkDrain, gone: checkGone, limit: checkRateLimits, leaving: checkLeavings, backoff: checkBackoffs, crash: checkCrashes, isolated: checkIsolation, config: checkConfig, stop: checkStops, late: checkLate, recover: checkRecovery,
 } satisfies Readonly<Record<string, PromiseCheck>>;
 
 /** Checks some promises against the observations of a run. */
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -73,15 +73,20 @@
 	untilMs: number;
 };
 
-/** Period in which a worker named a limit of requests per second. Times are Unix ms. */
-export type LimitPeriod = {
+/** Period in which a worker said something of itself in its responses. Times are Unix ms. */
+export type WorkerPeriod = {
 	readonly worker: string;
-	readonly perSecond: number;
 	readonly fromMs: number;
-	/** Infinity while the worker names the limit. */
+	/** Infinity while the worker says so. */
 	untilMs: number;
 };
 
+/** Period in which a worker named a limit of requests per second. */
+export type LimitPeriod = WorkerPeriod & {readonly perSecond: number};
+
+/** Period in which a worker rejected requests and told the hosts to wait. */
+export type BackoffPeriod = WorkerPeriod & {readonly retryAfterMs: number};
+
 /** Period in which callers send a request that crashes the workers which run it. Times are Unix ms. */
 export type CrashingRequest = {
 	readonly url: string;
@@ -115,6 +120,9 @@
 	readonly runs: ExecutedRequest[];
 	readonly arrivals: Arrival[];
 	readonly limits: LimitPeriod[];
+	/** Periods in which a worker said that it was leaving, while its entry in the store said otherwise. */
+	readonly leavings: WorkerPeriod[];
+	readonly backoffs: BackoffPeriod[];
 	readonly crashingRequests: CrashingRequest[];
 	/** Periods in which a host reached no worker. Other promises hold for it all the same. */
 	readonly isolations: Disturbance[];
@@ -131,7 +139,7 @@
 /** Creates records without observations. */
 export function createRecords(): SoakRecords {
 	return {
-		calls: [], runs: [], arrivals: [], limits: [], crashingRequests: [], isolations: [], lags: [], exits: [], notices: [], disturbances: [], stops: [], calmFromMs: Number.POSITIVE_INFINITY,
+		calls: [], runs: [], arrivals: [], limits: [], leavings: [], backoffs: [], crashingRequests: [], isolations: [], lags: [], exits: [], notices: [], disturbances: [], stops: [], calmFromMs: Number.POSITIVE_INFINITY,
 	};
 }
 
--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -199,6 +199,48 @@
 	assert.deepEqual(findBrokenPromises({...createRecordsOf(20), disturbances}), []);
 });
 
+test('promises: reports a worker that is used long after a host has forwarded its word that it is leaving', () => {
+	const leavings = [{worker: 'w1', fromMs: 10_000, untilMs: 20_000}];
+	const createRecordsOf = (host: string, sentAtMs: number) => ({
+		leavings,
+		calls: [createCall({id: 'c1', host: 'h1', sentAtMs: 10_100, endAtMs: 10_200}), createCall({
+			id: 'c2', host, sentAtMs, endAtMs: sentAtMs + 100,
+		})],
+		runs: [createRun({id: 'c1', atMs: 10_110}), createRun({id: 'c2', atMs: sentAtMs + 10})],
+		arrivals: [{id: 'c1', worker: 'w1', atMs: 10_110}, {id: 'c2', worker: 'w1', atMs: sentAtMs + 10}],
+	});
+	assert.deepEqual(findBrokenPromises(createRecordsOf('h1', 12_300)), ['leaving']);
+	assert.deepEqual(findBrokenPromises(createRecordsOf('h1', 12_100)), []);
+	assert.deepEqual(findBrokenPromises(createRecordsOf('h2', 12_300)), []);
+	assert.deepEqual(findBrokenPromises({...createRecordsOf('h1', 12_300), leavings: [{...leavings[0]!, untilMs: 12_000}]}), []);
+	const [disturbance] = [{
+		kind: FaultKind.HostKill, subject: 'h1', fromMs: 11_000, untilMs: 11_500,
+	}];
+	assert.deepEqual(findBrokenPromises({...createRecordsOf('h1', 12_300), disturbances: [disturbance!]}), []);
+	assert.deepEqual(findBrokenPromises({...createRecordsOf('h1', 12_300), disturbances: [{...disturbance!, subject: 'store'}]}), ['leaving']);
+});
+
+test('promises: reports a worker that gets requests from a host that it has told to wait', () => {
+	const backoffs = [{
+		worker: 'w1', retryAfterMs: 3000, fromMs: 10_000, untilMs: 11_000,
+	}];
+	const createRecordsOf = (hosts: readonly string[], gapMs: number) => {
+		const calls = hosts.map((host, index) => createCall({
+			id: `c${index}`, host, status: 503, sentAtMs: 10_100 + (index * gapMs), endAtMs: 10_200 + (index * gapMs),
+		}));
+		return {backoffs, calls, arrivals: calls.map(({id, sentAtMs}) => ({id, worker: 'w1', atMs: sentAtMs + 10}))};
+	};
+
+	// The first one starts the time; from half a second later on two are allowed.
+	assert.deepEqual(findBrokenPromises(createRecordsOf(['h1', 'h1', 'h1', 'h1'], 600)), ['backoff']);
+	assert.deepEqual(findBrokenPromises(createRecordsOf(['h1', 'h1', 'h1'], 600)), []);
+	assert.deepEqual(findBrokenPromises(createRecordsOf(['h1', 'h1', 'h1', 'h1'], 100)), []);
+	assert.deepEqual(findBrokenPromises(createRecordsOf(['h1', 'h2', 'h3', 'h2'], 600)), []);
+	assert.deepEqual(findBrokenPromises({...createRecordsOf(['h1', 'h1', 'h1', 'h1'], 600), isolations: [{
+		kind: FaultKind.HostIsolated, subject: 'h1', fromMs: 10_000, untilMs: 10_500,
+	}]}), []);
+});
+
 test('breakages: the text that each replaces stands in its source file once', () => {
 	for (const [name, {file, from}] of Object.entries(BREAKAGES)) {
 		const source = readFileSync(new URL(`../../${file}`, import.meta.url), 'utf8');
