--- a/test/entry/crashing-requests.test.ts
+++ b/test/entry/crashing-requests.test.ts
@@ -72,6 +72,19 @@
 	assert.ok(served >= others.length * 0.95, `${served} of ${others.length} other requests served`);
 });
 
+// BUDGET: users' day `deadly`, where three in a hundred requests crash the workers that run them.
+test('a request that is a small share of the load ends three workers, and no more however long it comes', async () => {
+	const path = '/read/crash?item=5';
+	const crashesBefore = listCrashes().length;
+	const replies = await sendInTurn(CONTACT_MS + 2500, REQUEST_GAP_MS, index => index % 30 === 7 ? path : `/read/${index}`);
+	const crashes = listCrashes().slice(crashesBefore);
+	assert.ok(crashes.length >= 2 && crashes.length <= MAX_CRASHES + MAX_LATER_ARRIVALS, `${crashes.length} crashes`);
+	const lateArrivals = workers.flatMap(({executedRequests}) => executedRequests).filter(({url, atMs}) => url === path && atMs > (crashes[MAX_CRASHES - 1] ?? Number.POSITIVE_INFINITY) + CONTACT_MS);
+	assert.ok(lateArrivals.length <= MAX_LATER_ARRIVALS, `${lateArrivals.length} late arrivals`);
+	const served = replies.filter(({status}) => status === 200).length;
+	assert.ok(served >= replies.length * 0.9, `${served} of ${replies.length} served`);
+});
+
 test('a request that many send while workers crash of another cause is never refused as the cause', async () => {
 	const requests = sendInTurn(4200, 10, () => '/read/popular');
 	for (const worker of [...workers, ...workers.slice(0, 3)]) {
