fix(soak): what fails on all hosts alike is not put down to the isolation of one

Trace: from 6.9 s on the last worker of the service was down, as two had left, one was limited and its zone evacuated, and a crashing request ended the fourth; all hosts answered no-worker in the same half seconds, and the isolated one served as many as the others before. So no host had lost workers without a fault: the case is allowed.

The margin of 10 calls and 2 of 100 was counted over all failures at the host, those that every host had included. It is counted over the calls that are missing to the ratio of the others now.

--- a/packages/soak/src/isolation.ts
+++ b/packages/soak/src/isolation.ts
@@ -7,7 +7,7 @@
 const LEARNING_MS = 3000;
 /** Least ratio of calls that are served at isolated hosts, compared with the others. */
 const MIN_SERVED_RATIO = 2 / 3;
-/** Failed calls that are allowed in any case: this number, and a ratio of all calls. */
+/** Calls by which a host may serve fewer than it would as often as the others: this number, and a ratio of all calls. */
 const ALLOWED_FAILURES = 10;
 const ALLOWED_FAILURE_RATIO = 0.02;
 
@@ -21,10 +21,11 @@
 		&& isUndisturbed(records, fromMs, endAtMs, [host]));
 	const isolated = counted.filter(({host}) => host === subject);
 	const others = counted.filter(({host}) => !records.isolations.some(isolation => isolation.subject === host && isolation.fromMs < untilMs && isolation.untilMs > fromMs));
-	const failures = isolated.length - countServed(isolated);
+	const servedRatio = others.length === 0 ? 1 : countServed(others) / others.length;
+	const missing = (servedRatio * isolated.length) - countServed(isolated);
 	const allowed = ALLOWED_FAILURES + (ALLOWED_FAILURE_RATIO * counted.length);
 	const isWorse = countServed(isolated) * others.length < MIN_SERVED_RATIO * countServed(others) * isolated.length;
-	return isWorse && failures > allowed
+	return isWorse && missing > allowed
 		? [{promise: 'isolated', subject, message: `served ${countServed(isolated)} of ${isolated.length} calls while it reached no worker, the others ${countServed(others)} of ${others.length}`}]
 		: [];
 }
--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -197,6 +197,15 @@
 		kind: FaultKind.HostPause, subject: 'h1', fromMs: 11_000, untilMs: 11_500,
 	}];
 	assert.deepEqual(findBrokenPromises({...createRecordsOf(20), disturbances}), []);
+	// Seed 10039: for a second the service had no worker at all, so that all hosts failed alike.
+	const calls = [...createCalls('h1', 1).slice(0, 16), ...createCalls('h2', 14), ...createCalls('h3', 0), ...createCalls('h4', 0).slice(0, 45)];
+	const isolations = [{
+		kind: FaultKind.HostIsolated, subject: 'h1', fromMs: 10_000, untilMs: 20_000,
+	}];
+	const runs = calls.filter(({status}) => status === 200).map(({id}) => createRun({id}));
+	assert.deepEqual(findBrokenPromises({calls, runs, isolations}), []);
+	const othersServed = calls.map(call => call.host === 'h1' ? call : {...call, status: 200});
+	assert.deepEqual(findBrokenPromises({calls: othersServed, runs: othersServed.map(({id}) => createRun({id})), isolations}), ['isolated']);
 });
 
 test('promises: reports a worker that is used long after a host has forwarded its word that it is leaving', () => {
