fix(entry): what a host of an earlier build answers itself does not reach a caller as the answer

An unsigned 4xx of another host states that no worker has the request: the next host is tried, then the caller gets 503.

--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -2,6 +2,7 @@
 	ResponseHeaders, ResponseMetadata, RequestMetadata, HealthCheckResult, Dialect, ReportedLoad, WorkerNotice,
 } from './dialect.js';
 export {EntryHost, type EntryDeps, type EntrySettings} from './host/host.js';
+export {Ingress} from './request/ingress.js';
 export {HostPhase} from './host/phase.js';
 export {Registration, type RegistrationDeps} from './host/registration.js';
 export type {
--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -99,7 +99,7 @@
 		return result;
 	}
 
-	/** Passes the request on to another host. A rejection of that host states that the request has not run. */
+	/** Passes the request on to another host. A rejection of that host, or a 4xx, such as that of an earlier build which serves no other host, states that the request has not run. */
 	async sendToPeer({entry}: Member): Promise<ExchangeResult> {
 		const {clock, peerPool, dialect, hostId} = this.deps;
 		const {route, metadata} = this.request;
@@ -116,7 +116,7 @@
 		const exchange = this.#createExchange(connection, headers);
 		const exchangeResult = await this.#runInTime(exchange, record, FORWARD_RESPONSE_GRACE_MS);
 		const {head} = exchangeResult;
-		const isRejected = exchangeResult.end === ExchangeEnd.Answered && head !== undefined && NOT_RUN_STATUSES.has(head.status) && !head.metadata.isSigned;
+		const isRejected = exchangeResult.end === ExchangeEnd.Answered && head !== undefined && !head.metadata.isSigned && (NOT_RUN_STATUSES.has(head.status) || isClientError(head.status));
 		const result = isRejected ? {...exchangeResult, mayHaveRun: false} : exchangeResult;
 		if (result.isReusable) {
 			peerPool.release(entry.id, address, connection);
@@ -310,6 +310,11 @@
 	}
 }
 
+/** Whether the status is a 4xx. */
+function isClientError(status: number): boolean {
+	return status >= 400 && status < FIRST_ERROR_STATUS;
+}
+
 function classifyResponse({status, metadata}: ResponseHead): AttemptOutcome {
 	if (metadata.isOtherWorker) {
 		return AttemptOutcome.Replaced;
--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -4,7 +4,9 @@
 	PlacementReason, RequestKind, hashObject, computeRetryAfterMs, computeWaitUntilMs, type Placement, type Route,
 } from '@apricotwood/steering';
 import type {RequestMetadata} from '../dialect.js';
-import {ExchangeEnd, isForwardable, type ExchangeResult} from '../upstream/exchange.js';
+import {
+	ExchangeEnd, isForwardable, type ExchangeResult, type ResponseHead,
+} from '../upstream/exchange.js';
 import {AttemptSender, FIRST_ERROR_STATUS, NOT_RUN_STATUSES} from './attempt.js';
 import {
 	BodyReadResult, hasBody, readBody, type RequestBody,
@@ -184,8 +186,9 @@
 			return NOT_FORWARDED;
 		}
 
-		if (result.end === ExchangeEnd.Answered && result.head && !this.#writer.isClosed) {
-			this.#writer.send(result.head, result.body);
+		const {end, head, body: responseBody} = result;
+		if (end === ExchangeEnd.Answered && head && (head.metadata.isSigned || isPeerRejection(head)) && !this.#writer.isClosed) {
+			this.#writer.send(head, responseBody);
 			return undefined;
 		}
 
@@ -381,3 +384,8 @@
 		});
 	}
 }
+
+/** Whether an unsigned response of another host is its rejection, or its statement that the outcome is unknown. */
+function isPeerRejection({status}: ResponseHead): boolean {
+	return NOT_RUN_STATUSES.has(status) || status >= FIRST_ERROR_STATUS;
+}
--- a/test/entry/draining-workers.test.ts
+++ b/test/entry/draining-workers.test.ts
@@ -17,7 +17,7 @@
 }
 
 const leaving = workers[0]!;
-const cluster = new TestCluster({firstOctet: 41, zones: ['a1', 'a2', 'b1', 'a1'], workers});
+const cluster = new TestCluster({firstOctet: 61, zones: ['a1', 'a2', 'b1', 'a1'], workers});
 const {store, hosts} = cluster;
 
 /** Calls that reached the worker although they were sent later than `DRAIN_MS` after their host had forwarded a response that says that it is leaving. */
--- a/test/entry/worker-backoff.test.ts
+++ b/test/entry/worker-backoff.test.ts
@@ -21,7 +21,7 @@
 }
 
 const resting = workers[0]!;
-const cluster = new TestCluster({firstOctet: 46, zones: ['a1', 'a2', 'b1'], workers});
+const cluster = new TestCluster({firstOctet: 66, zones: ['a1', 'a2', 'b1'], workers});
 const {hosts} = cluster;
 
 /** Largest number of requests that reached the worker from one host in the time for which it had told this host to wait. */
