fix(soak): a request counts for the host that sent it to the worker, not for the one that got the call

Links connect from an address of their host, the stand-in of a worker records it, and both new promises go by it. Isolated hosts, which were left out before, are judged as well now.

--- a/packages/soak/src/environment.ts
+++ b/packages/soak/src/environment.ts
@@ -135,6 +135,8 @@
 	readonly callerLinks = new Map<string, Link>();
 	readonly workerEndpoints: WorkerEndpoint[] = [];
 	readonly evacuatedZones = new Set<string>();
+	/** Id of each host by the address of its links to the workers. */
+	readonly #hostIdByLinkIp = new Map<string, string>();
 	#configVersion = 1;
 	readonly #extraRoutes: Array<readonly unknown[]> = [];
 
@@ -299,8 +301,8 @@
 		await Promise.all([...links, ...this.workerEndpoints].map(async component => component.stop()));
 		await this.store.stop();
 		this.records.runs.push(...this.workerEndpoints.flatMap(({worker}) => worker.executedRequests));
-		this.records.arrivals.push(...this.workerEndpoints.flatMap(({id: worker, worker: {receivedRequests}}) => receivedRequests.map(({id, atMs, headAtMs}) => ({
-			id, worker, atMs, headAtMs,
+		this.records.arrivals.push(...this.workerEndpoints.flatMap(({id: worker, worker: {receivedRequests}}) => receivedRequests.map(({id, atMs, headAtMs, from}) => ({
+			id, worker, atMs, headAtMs, sender: this.#hostIdByLinkIp.get(from ?? ''),
 		}))));
 	}
 
@@ -328,6 +330,7 @@
 		const callerLink = await new Link(() => callerAddress(ip)).start();
 		this.storeLinks.set(id, storeLink);
 		this.callerLinks.set(callerAddress(ip), callerLink);
+		this.#hostIdByLinkIp.set(workerLinkIp, id);
 		this.hosts.push(new HostProcess({
 			id, ip, zone, storeAddress: storeLink.address, seeds, regionByZone: REGIONS,
 		}, this.options.program, path.resolve(this.options.directory), {[WORKER_IP_VARIABLE]: workerLinkIp}, exit => {
--- a/packages/soak/src/proxy.ts
+++ b/packages/soak/src/proxy.ts
@@ -30,7 +30,7 @@
 	hasLostData: boolean;
 };
 
-/** TCP proxy on the loopback interface that injects network faults between clients and one address. Connections that have lost data are reset when the link becomes healthy again, since TCP does not continue after a gap. */
+/** TCP proxy on the loopback interface that injects network faults between clients and one address; it connects from its own address, which tells the links apart. Connections that have lost data are reset when the link becomes healthy again, since TCP does not continue after a gap. */
 export class Link {
 	readonly #connections = new Set<ProxiedConnection>();
 	readonly #server: Server = createServer({allowHalfOpen: true}, downstream => {
@@ -134,7 +134,9 @@
 		}
 
 		const [ip, port] = this.getTarget().split(':');
-		const upstream = connect({host: ip!, port: Number(port), allowHalfOpen: true});
+		const upstream = connect({
+			host: ip!, port: Number(port), localAddress: this.#ip, allowHalfOpen: true,
+		});
 		const connection = {downstream, upstream, hasLostData: false};
 		this.#connections.add(connection);
 		const close = (isError: boolean) => {
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -104,6 +104,8 @@
 	readonly atMs: number;
 	/** Time at which its head had arrived, Unix ms; `undefined` if not recorded. */
 	readonly headAtMs?: number;
+	/** Id of the host that sent it, which is another one than that of the call if this passed the call on; `undefined` if not recorded. */
+	readonly sender?: string | undefined;
 };
 
 /** Time by which the event loop of the soak itself was late; callers and workers run in it, so what they record is late by as much. */
--- a/packages/soak/src/worker-notices.ts
+++ b/packages/soak/src/worker-notices.ts
@@ -30,10 +30,10 @@
 	}
 
 	const violations: Violation[] = [];
-	for (const {call, arrival} of listArrivals(records, worker)) {
-		const toldMs = toldAtMs.get(call.host);
-		if (toldMs !== undefined && call.sentAtMs > toldMs + DRAIN_MS && arrival.atMs < untilMs && isComparable(records, toldMs, arrival.atMs, worker, call.host)) {
-			violations.push({promise: 'leaving', subject: call.id, message: `reached ${worker} from ${call.host}, sent ${call.sentAtMs - toldMs} ms after this host had forwarded a response which says that the worker is leaving`});
+	for (const {call, arrival: {atMs}, sender} of listArrivals(records, worker)) {
+		const toldMs = toldAtMs.get(sender);
+		if (toldMs !== undefined && call.sentAtMs > toldMs + DRAIN_MS && atMs < untilMs && isComparable(records, toldMs, atMs, worker, sender)) {
+			violations.push({promise: 'leaving', subject: call.id, message: `reached ${worker} from ${sender}, sent ${call.sentAtMs - toldMs} ms after this host had forwarded a response which says that the worker is leaving`});
 		}
 	}
 
@@ -41,30 +41,39 @@
 }
 
 function checkBackoff(records: SoakRecords, {worker, retryAfterMs, fromMs, untilMs}: BackoffPeriod): Violation[] {
-	const arrivals = listArrivals(records, worker);
-	for (const {call: {host}, arrival: {atMs}} of arrivals) {
+	const requests = listArrivals(records, worker);
+	for (const {sender, arrival: {atMs}} of requests) {
 		if (atMs < fromMs || atMs >= untilMs) {
 			continue;
 		}
 
 		const endMs = atMs + retryAfterMs;
-		const early = arrivals.filter(({call, arrival}) => call.host === host && arrival.atMs >= atMs + BACKOFF_GRACE_MS && arrival.atMs < endMs);
-		if (early.length > MAX_REQUESTS_IN_BACKOFF && isComparable(records, atMs, endMs, worker, host)) {
-			return [{promise: 'backoff', subject: worker, message: `told ${host} to wait ${retryAfterMs} ms and got ${early.length} requests from it in that time`}];
+		const early = requests.filter(request => request.sender === sender && request.arrival.atMs >= atMs + BACKOFF_GRACE_MS && request.arrival.atMs < endMs);
+		if (early.length > MAX_REQUESTS_IN_BACKOFF && isComparable(records, atMs, endMs, worker, sender)) {
+			return [{promise: 'backoff', subject: worker, message: `told ${sender} to wait ${retryAfterMs} ms and got ${early.length} requests from it in that time`}];
 		}
 	}
 
 	return [];
 }
 
-function listArrivals({calls, arrivals}: SoakRecords, worker: string): Array<{readonly call: Call; readonly arrival: Arrival}> {
+/** A request that reached a worker, with the host that sent it. */
+type ReceivedRequest = {
+	readonly call: Call;
+	readonly arrival: Arrival;
+	readonly sender: string;
+};
+
+function listArrivals({calls, arrivals}: SoakRecords, worker: string): ReceivedRequest[] {
 	const callsById = new Map(calls.map(call => [call.id, call]));
-	return arrivals.filter(arrival => arrival.worker === worker && callsById.has(arrival.id)).map(arrival => ({call: callsById.get(arrival.id)!, arrival}));
+	return arrivals.filter(arrival => arrival.worker === worker && callsById.has(arrival.id)).map(arrival => {
+		const call = callsById.get(arrival.id)!;
+		return {call, arrival, sender: arrival.sender ?? call.host};
+	});
 }
 
-/** Whether the requests came from the host that got the call, which has not forgotten, and the worker did not start again. An isolated host passes its calls on to others, which the worker may not have told. */
+/** Whether neither the host has forgotten what it was told nor the worker has started again. */
 function isComparable(records: SoakRecords, fromMs: number, untilMs: number, worker: string, host: string): boolean {
-	const isIsolated = records.isolations.some(({subject, ...isolation}) => subject === host && isolation.fromMs <= untilMs && isolation.untilMs >= fromMs);
 	const isRestarted = records.notices.some(notice => notice.subject === worker && notice.atMs <= untilMs && (notice.untilMs ?? untilMs) >= fromMs);
-	return !isIsolated && !isRestarted && isUndisturbed(records, fromMs, untilMs, [worker, host]);
+	return !isRestarted && isUndisturbed(records, fromMs, untilMs, [worker, host]);
 }
--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -245,9 +245,10 @@
 	assert.deepEqual(findBrokenPromises(createRecordsOf(['h1', 'h1', 'h1'], 600)), []);
 	assert.deepEqual(findBrokenPromises(createRecordsOf(['h1', 'h1', 'h1', 'h1'], 100)), []);
 	assert.deepEqual(findBrokenPromises(createRecordsOf(['h1', 'h2', 'h3', 'h2'], 600)), []);
-	assert.deepEqual(findBrokenPromises({...createRecordsOf(['h1', 'h1', 'h1', 'h1'], 600), isolations: [{
-		kind: FaultKind.HostIsolated, subject: 'h1', fromMs: 10_000, untilMs: 10_500,
-	}]}), []);
+	// Seed 31003: host h1 passed the calls on to h2, which the worker had not told to wait.
+	const passedOn = createRecordsOf(['h1', 'h1', 'h1', 'h1'], 600);
+	assert.deepEqual(findBrokenPromises({...passedOn, arrivals: passedOn.arrivals.map((arrival, index) => ({...arrival, sender: index === 0 ? 'h1' : `h${1 + index}`}))}), []);
+	assert.deepEqual(findBrokenPromises({...passedOn, arrivals: passedOn.arrivals.map(arrival => ({...arrival, sender: 'h2'}))}), ['backoff']);
 });
 
 test('breakages: the text that each replaces stands in its source file once', () => {
