fix(soak): a worker that was withdrawn while it was down after a crash stays withdrawn

Trace: the worker is marked draining or gone while it is down after a crash; its stand-in comes back a second later and registers itself as ready, so the hosts rightly use it, and the check counts from the notice. The soak, not the product.

--- a/packages/soak/src/environment.ts
+++ b/packages/soak/src/environment.ts
@@ -77,7 +77,9 @@
 			this.links.resetConnections();
 			return () => {
 				endFault();
-				this.registerNewIncarnation();
+				// A worker that was withdrawn meanwhile stays so.
+				this.#incarnation++;
+				this.rewrite();
 				onRestart();
 			};
 		};
