feat(soak): an earlier build runs beside this one

--old COMMIT builds a commit from the repository's history; every other host begins with it, and each stop of a host changes its build, so upgrades and rollbacks overlap with the other faults. A commit that does not exist, or cannot be instrumented, gets an error.

--- a/packages/soak/src/build.ts
+++ b/packages/soak/src/build.ts
@@ -1,4 +1,5 @@
-import {readFileSync} from 'node:fs';
+import {execFileSync} from 'node:child_process';
+import {mkdirSync, readFileSync, rmSync} from 'node:fs';
 import path from 'node:path';
 import type {Plugin} from 'esbuild';
 import {BREAKAGES, type Replacement} from './breakages.js';
@@ -39,6 +40,23 @@
 	return outfile;
 }
 
+/**
+ * Writes the sources of an earlier commit into a folder of the workspace, where they find its dependencies.
+ * @returns the folder, a root for `buildProgram`.
+ * @throws if the repository has no such commit.
+ */
+export function extractCommit(root: string, commit: string): string {
+	const git = (...args: string[]) => execFileSync('git', ['-C', root, ...args], {encoding: 'utf8', stdio: ['ignore', 'pipe', 'pipe']}).trim();
+	const id = git('rev-parse', '--verify', '--end-of-options', `${commit}^{commit}`);
+	const folder = path.join(root, '.soak', `build-${id.slice(0, 12)}`);
+	const archive = `${folder}.tar`;
+	mkdirSync(folder, {recursive: true});
+	git('archive', '--format=tar', `--output=${archive}`, id);
+	execFileSync('tar', ['-xf', archive, '-C', folder]);
+	rmSync(archive);
+	return folder;
+}
+
 function createReplacementPlugin(root: string, replacements: readonly Replacement[]): Plugin {
 	const sources = new Map<string, string>();
 	for (const {file, from, to} of replacements) {
--- a/packages/soak/src/environment.ts
+++ b/packages/soak/src/environment.ts
@@ -11,7 +11,7 @@
 import {Link, LinkState} from './proxy.js';
 import {WorkerLinks} from './worker-links.js';
 import {
-	createRecords, type ChangeNotice, type CrashingRequest, type Disturbance, type SoakRecords, type WorkerPeriod,
+	createRecords, type ChangeNotice, type CrashingRequest, type Disturbance, type Period, type SoakRecords,
 } from './records.js';
 
 /** Size and files of an environment. */
@@ -20,6 +20,8 @@
 	readonly hostCount: number;
 	/** Path of the bundle that the hosts run. */
 	readonly program: string;
+	/** Path of the bundle of an earlier build. Every other host begins with it, and a host that is stopped starts again with the other build. @default none */
+	readonly oldProgram?: string;
 	/** Directory for the settings and logs of the hosts. */
 	readonly directory: string;
 };
@@ -139,6 +141,8 @@
 	readonly evacuatedZones = new Set<string>();
 	/** Id of each host by the address of its links to the workers. */
 	readonly #hostIdByLinkIp = new Map<string, string>();
+	/** Ends the record of each host that runs the earlier build. */
+	readonly #endsOfOldBuilds = new Map<string, () => void>();
 	#configVersion = 1;
 	readonly #extraRoutes: Array<readonly unknown[]> = [];
 
@@ -206,8 +210,8 @@
 		return disturbance;
 	}
 
-	/** Records in `periods` that a worker says something of itself from now on. @returns a function that ends it. */
-	recordPeriod<T extends WorkerPeriod>(periods: T[], fields: Omit<T, 'fromMs' | 'untilMs'>): () => void {
+	/** Records in `periods` that something holds from now on. @returns a function that ends it. */
+	recordPeriod<T extends Period>(periods: T[], fields: Omit<T, 'fromMs' | 'untilMs'>): () => void {
 		const period = {...fields, fromMs: Date.now(), untilMs: Number.POSITIVE_INFINITY} as T;
 		periods.push(period);
 		return () => {
@@ -251,7 +255,7 @@
 		return notice;
 	}
 
-	/** Stops a host by SIGTERM, as operators do, and starts it again after its exit. Kills it if it does not exit in time. */
+	/** Stops a host by SIGTERM, as operators do, and starts it again after its exit, with the other build if there are two. Kills it if it does not exit in time. */
 	async restartHost(host: HostProcess): Promise<void> {
 		const stop: SoakRecords['stops'][number] = {host: host.options.id, atMs: Date.now(), endAtMs: undefined};
 		this.records.stops.push(stop);
@@ -263,9 +267,30 @@
 			await host.waitForExit(STOP_TIMEOUT_MS);
 		}
 
+		this.#switchBuild(host);
 		host.start();
 	}
 
+	#switchBuild(host: HostProcess): void {
+		const {program, oldProgram} = this.options;
+		// Another stop of the host that overlapped has started it already.
+		if (oldProgram === undefined || host.isRunning) {
+			return;
+		}
+
+		const isOld = host.program === oldProgram;
+		host.program = isOld ? program : oldProgram;
+		if (isOld) {
+			this.#endsOfOldBuilds.get(host.options.id)?.();
+		} else {
+			this.#recordOldBuild(host.options.id);
+		}
+	}
+
+	#recordOldBuild(host: string): void {
+		this.#endsOfOldBuilds.set(host, this.recordPeriod(this.records.oldBuilds, {host}));
+	}
+
 	/** Clears all faults and waits until all hosts are ready. @returns ids and process states of hosts that are not ready in time. */
 	async clearFaults(): Promise<string[]> {
 		this.store.mode = FakeStoreMode.Healthy;
@@ -333,9 +358,15 @@
 		this.storeLinks.set(id, storeLink);
 		this.callerLinks.set(callerAddress(ip), callerLink);
 		this.#hostIdByLinkIp.set(workerLinkIp, id);
+		const {program, oldProgram = program} = this.options;
+		const isOld = oldProgram !== program && this.hosts.length % 2 === 1;
+		if (isOld) {
+			this.#recordOldBuild(id);
+		}
+
 		this.hosts.push(new HostProcess({
 			id, ip, zone, storeAddress: storeLink.address, seeds, regionByZone: REGIONS,
-		}, this.options.program, path.resolve(this.options.directory), {[WORKER_IP_VARIABLE]: workerLinkIp}, exit => {
+		}, isOld ? oldProgram : program, path.resolve(this.options.directory), {[WORKER_IP_VARIABLE]: workerLinkIp}, exit => {
 			this.records.exits.push(exit);
 		}));
 	}
--- a/packages/soak/src/host.ts
+++ b/packages/soak/src/host.ts
@@ -45,7 +45,8 @@
 
 	constructor(
 		readonly options: TestHostOptions,
-		private readonly program: string,
+		/** Path of the bundle that the next start runs. */
+		public program: string,
 		private readonly directory: string,
 		/** Further environment variables of the process. */
 		private readonly env: Readonly<Record<string, string>>,
@@ -59,6 +60,10 @@
 		return callerAddress(this.options.ip);
 	}
 
+	get isRunning(): boolean {
+		return this.#child !== undefined;
+	}
+
 	/** Describes the state and CPU time of the process according to the kernel, to diagnose a host that does not respond. */
 	describeState(): string {
 		const pid = this.#child?.pid;
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -4,12 +4,12 @@
 import {fileURLToPath} from 'node:url';
 import {parseArgs} from 'node:util';
 import {SeededRandom} from '@apricotwood/clock';
-import {buildProgram} from './build.js';
+import {buildProgram, extractCommit} from './build.js';
 import {BREAKAGES} from './breakages.js';
 import {FaultKind} from './plan.js';
 import {runSoak} from './soak.js';
 
-const USAGE = `npm run soak -- [--seed N] [--seeds COUNT] [--minutes M] [--hosts N] [--kinds A,B] [--untimed] [--regressions] [--break NAME] [--logs DIR]
+const USAGE = `npm run soak -- [--seed N] [--seeds COUNT] [--minutes M] [--hosts N] [--kinds A,B] [--untimed] [--regressions] [--break NAME] [--old COMMIT] [--logs DIR]
 
   --seed N       first seed; random if omitted, printed with the result
   --seeds COUNT  number of consecutive seeds (1)
@@ -19,6 +19,7 @@
   --untimed      check only promises without a time limit, which do not depend on the load of the machine
   --regressions  run the seeds of regressions.json with the options that failed
   --break NAME   build the hosts with a deliberate defect: ${Object.keys(BREAKAGES).join(', ')}
+  --old COMMIT   run an earlier build beside this one (f5fb4f3 or later): every other host begins with it, and a host that is stopped starts again with the other build
   --logs DIR     directory for the bundle and the logs (.soak)
 `;
 
@@ -46,6 +47,7 @@
 		untimed: {type: 'boolean', default: false},
 		regressions: {type: 'boolean', default: false},
 		break: {type: 'string'},
+		old: {type: 'string'},
 		logs: {type: 'string', default: path.join(root, '.soak')},
 		help: {type: 'boolean', default: false},
 	},
@@ -80,7 +82,23 @@
 	}));
 }
 
-async function runJob({seed, minutes, hosts, kinds, cause}: SoakJob, program: string): Promise<boolean> {
+/** Builds an earlier commit. Exits if there is none, or its hosts cannot have links of their own. */
+async function buildOld(commit: string): Promise<string> {
+	let folder: string;
+	try {
+		folder = extractCommit(root, commit);
+	} catch {
+		exitWithUsageError(`--old: the repository has no commit ${commit}`);
+	}
+
+	try {
+		return await buildProgram(folder, path.join(values.logs, `apricotwood-old-${process.pid}.mjs`));
+	} catch {
+		exitWithUsageError(`--old: ${commit} cannot be built with a link for each host and worker`);
+	}
+}
+
+async function runJob({seed, minutes, hosts, kinds, cause}: SoakJob, program: string, oldProgram: string | undefined): Promise<boolean> {
 	if (cause !== undefined) {
 		console.log(`seed ${seed} failed before: ${cause}`);
 	}
@@ -88,7 +106,7 @@
 	const directory = path.join(values.logs, `seed-${seed}`);
 	mkdirSync(directory, {recursive: true});
 	const {plan, records, breaches} = await runSoak(new SeededRandom(seed), {
-		hostCount: hosts, program, directory, durationMs: minutes * MS_PER_MINUTE, checksTimedPromises: !values.untimed, ...(kinds && {kinds}),
+		hostCount: hosts, program, directory, durationMs: minutes * MS_PER_MINUTE, checksTimedPromises: !values.untimed, ...(kinds && {kinds}), ...(oldProgram && {oldProgram}),
 	});
 	const servedCount = records.calls.filter(({status}) => status === 200).length;
 	console.log(`seed ${seed}: ${plan.length} faults, ${records.calls.length} calls, ${servedCount} served, ${breaches.length} promise violations`);
@@ -113,9 +131,10 @@
 	}
 
 	const program = await buildProgram(root, path.join(values.logs, `apricotwood-${values.break ?? 'whole'}-${process.pid}.mjs`), values.break);
+	const oldProgram = values.old === undefined ? undefined : await buildOld(values.old);
 	let failed = 0;
 	for (const job of createJobs()) {
-		failed += Number(!await runJob(job, program)); // eslint-disable-line no-await-in-loop
+		failed += Number(!await runJob(job, program, oldProgram)); // eslint-disable-line no-await-in-loop
 	}
 
 	console.log(failed === 0 ? 'no promise was violated' : `${failed} seeds failed`);
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -73,14 +73,19 @@
 	untilMs: number;
 };
 
-/** Period in which a worker said something of itself in its responses. Times are Unix ms. */
-export type WorkerPeriod = {
-	readonly worker: string;
+/** Period in which something held. Times are Unix ms. */
+export type Period = {
 	readonly fromMs: number;
-	/** Infinity while the worker says so. */
+	/** Infinity while it holds. */
 	untilMs: number;
 };
 
+/** Period in which a worker said something of itself in its responses. */
+export type WorkerPeriod = Period & {readonly worker: string};
+
+/** Period in which a host ran the earlier build. */
+export type HostPeriod = Period & {readonly host: string};
+
 /** Period in which a worker named a limit of requests per second. */
 export type LimitPeriod = WorkerPeriod & {readonly perSecond: number};
 
@@ -125,6 +130,8 @@
 	/** Periods in which a worker said that it was leaving, while its entry in the store said otherwise. */
 	readonly leavings: WorkerPeriod[];
 	readonly backoffs: BackoffPeriod[];
+	/** Periods in which hosts ran an earlier build, which does not know the newest promises. */
+	readonly oldBuilds: HostPeriod[];
 	readonly crashingRequests: CrashingRequest[];
 	/** Periods in which a host reached no worker. Other promises hold for it all the same. */
 	readonly isolations: Disturbance[];
@@ -141,7 +148,7 @@
 /** Creates records without observations. */
 export function createRecords(): SoakRecords {
 	return {
-		calls: [], runs: [], arrivals: [], limits: [], leavings: [], backoffs: [], crashingRequests: [], isolations: [], lags: [], exits: [], notices: [], disturbances: [], stops: [], calmFromMs: Number.POSITIVE_INFINITY,
+		calls: [], runs: [], arrivals: [], limits: [], leavings: [], backoffs: [], oldBuilds: [], crashingRequests: [], isolations: [], lags: [], exits: [], notices: [], disturbances: [], stops: [], calmFromMs: Number.POSITIVE_INFINITY,
 	};
 }
 
--- a/packages/soak/src/worker-notices.ts
+++ b/packages/soak/src/worker-notices.ts
@@ -72,8 +72,9 @@
 	});
 }
 
-/** Whether neither the host has forgotten what it was told nor the worker has started again. */
+/** Whether the host knows the promise and has not forgotten what it was told, and the worker has not started again. */
 function isComparable(records: SoakRecords, fromMs: number, untilMs: number, worker: string, host: string): boolean {
 	const isRestarted = records.notices.some(notice => notice.subject === worker && notice.atMs <= untilMs && (notice.untilMs ?? untilMs) >= fromMs);
-	return !isRestarted && isUndisturbed(records, fromMs, untilMs, [worker, host]);
+	const isOldBuild = records.oldBuilds.some(build => build.host === host && build.fromMs <= untilMs && build.untilMs >= fromMs);
+	return !isRestarted && !isOldBuild && isUndisturbed(records, fromMs, untilMs, [worker, host]);
 }
