--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -158,7 +158,7 @@
 			clock,
 			log,
 			crashes: this.#crashes,
-			onNews: () => {
+			onChange: () => {
 				this.#heartbeats.sendReports();
 			},
 		});
@@ -173,7 +173,7 @@
 			new CrashReports({
 				clock,
 				crashes: this.#crashes,
-				onNews(fingerprints) {
+				onChange(fingerprints) {
 					crashGuard.refresh(fingerprints);
 				},
 			}),
--- a/packages/entry/src/peer/crash-reports.ts
+++ b/packages/entry/src/peer/crash-reports.ts
@@ -8,8 +8,8 @@
 export type CrashReportsDeps = {
 	readonly clock: Clock;
 	readonly crashes: CrashTracker;
-	/** Called when a peer has reported news. @param requests fingerprints of the requests that they are about. */
-	readonly onNews: (requests: readonly string[]) => void;
+	/** Called when a report of a peer has changed what is known. @param requests fingerprints of the requests that they are about. */
+	readonly onChange: (requests: readonly string[]) => void;
 };
 
 /** Upper bound of the length of a fingerprint, characters. */
@@ -43,15 +43,15 @@
 	}
 
 	receive(entries: unknown): boolean {
-		const {crashes, clock, onNews} = this.deps;
+		const {crashes, clock, onChange} = this.deps;
 		const reports = decodeCrashes(entries);
 		if (!reports) {
 			return false;
 		}
 
-		const news = reports.filter(report => crashes.recordPeerReport(report, clock.monotonic()));
-		if (news.length > 0) {
-			onNews(news.map(({request}) => request));
+		const changed = reports.filter(report => crashes.recordPeerReport(report, clock.monotonic()));
+		if (changed.length > 0) {
+			onChange(changed.map(({request}) => request));
 		}
 
 		return true;
--- a/packages/entry/src/peer/heartbeat-service.ts
+++ b/packages/entry/src/peer/heartbeat-service.ts
@@ -11,6 +11,7 @@
 import {
 	decodeHeartbeat, encodeHeartbeat, type Heartbeat, type ObservedHost, type ZoneSummary,
 } from './heartbeat-codec.js';
+import {HostEntryQueue} from './host-entry-queue.js';
 import {RelaySelector} from './relays.js';
 import {isReport} from './report-codec.js';
 import type {PeerReports} from './reports.js';
@@ -22,12 +23,6 @@
 const MIN_TIME_TO_HEARTBEAT_RATIO = 1.5;
 /** Lower bound of the time between two load reports for each known host, ms. Bounds what a host receives, as every host sends reports. */
 const REPORT_INTERVAL_PER_HOST_MS = 4;
-/** Every n-th heartbeat includes the sender's own entry. */
-const ENTRY_PERIOD_HEARTBEATS = 8;
-/** Number of heartbeats in which a relay includes the entry of a newly discovered host. */
-const NEW_ENTRY_HEARTBEATS = 3;
-/** Maximum number of entries of newly discovered hosts in one heartbeat. */
-const MAX_NEW_ENTRIES = 8;
 /** Every n-th heartbeat of a relay is also sent to hosts of its zone that are not alive, and to some hosts of zones that have fewer than two responsive relays. */
 const PROBE_PERIOD_HEARTBEATS = 5;
 /** Maximum number of this host's own requests, as (worker, object) pairs, in one heartbeat; later ones are dropped. */
@@ -67,6 +62,7 @@
 export class HeartbeatService {
 	readonly #relaySelector: RelaySelector;
 	readonly #zoneSummaries: ZoneSummaries;
+	readonly #hostEntries: HostEntryQueue;
 	#heartbeatCount = 0;
 	/** Requests sent by this host since its last heartbeat, as worker hash and object hash pairs. */
 	#sentRequests: number[] = [];
@@ -74,12 +70,11 @@
 	#lastSentLoads: ReadonlyMap<number, number> = new Map();
 	/** Whether the last load report had no requests. */
 	#isIdle = true;
-	/** Entries of newly discovered hosts, with the number of heartbeats that still have to include them. */
-	#newEntries: Array<{readonly entry: HostEntry; remainingHeartbeats: number}> = [];
 	#isCatchingUp = false;
 
 	constructor(private readonly deps: HeartbeatServiceDeps) {
 		this.#relaySelector = new RelaySelector(deps.members);
+		this.#hostEntries = new HostEntryQueue(deps.members);
 		this.#zoneSummaries = new ZoneSummaries({...deps, relaySelector: this.#relaySelector});
 	}
 
@@ -148,7 +143,7 @@
 		const probeRound = this.#heartbeatCount % PROBE_PERIOD_HEARTBEATS === 0 ? this.#heartbeatCount / PROBE_PERIOD_HEARTBEATS : undefined;
 		const recipients = this.#relaySelector.selectRecipients(nowMs, probeRound);
 		const heartbeat: Heartbeat = {
-			...this.#createHeartbeat(), sentRequests: this.#sentRequests, hostEntries: this.#selectHostEntries(), zone: recipients.isRelay ? this.#zoneSummaries.create(nowMs) : undefined,
+			...this.#createHeartbeat(), sentRequests: this.#sentRequests, hostEntries: this.#hostEntries.take(this.#heartbeatCount), zone: recipients.isRelay ? this.#zoneSummaries.create(nowMs) : undefined,
 		};
 		this.#sentRequests = [];
 		this.#zoneSummaries.clear();
@@ -212,29 +207,6 @@
 		};
 	}
 
-	/**
-	 * Returns the entries for the next heartbeat: newly discovered hosts, and
-	 * alternately this host and another host of its zone, each once per period.
-	 */
-	#selectHostEntries(): HostEntry[] {
-		const {members} = this.deps;
-		const batch = this.#newEntries.slice(0, MAX_NEW_ENTRIES);
-		const entries = batch.map(({entry}) => entry);
-		for (const newEntry of batch) {
-			newEntry.remainingHeartbeats--;
-		}
-
-		this.#newEntries = this.#newEntries.filter(({remainingHeartbeats}) => remainingHeartbeats > 0);
-		const others = members.inZone(members.self.zone);
-		if (this.#heartbeatCount % ENTRY_PERIOD_HEARTBEATS === 0) {
-			entries.push(members.self);
-		} else if (this.#heartbeatCount % ENTRY_PERIOD_HEARTBEATS === ENTRY_PERIOD_HEARTBEATS / 2 && others.length > 0) {
-			entries.push(others[Math.floor(this.#heartbeatCount / ENTRY_PERIOD_HEARTBEATS) % others.length]!.entry);
-		}
-
-		return entries;
-	}
-
 	#receive(bytes: Buffer, from: Address): void {
 		if (isReport(bytes)) {
 			this.deps.reports.receive(bytes);
@@ -278,7 +250,7 @@
 		}
 
 		if (this.#relaySelector.isRelay(clock.monotonic())) {
-			this.#newEntries.push({entry, remainingHeartbeats: NEW_ENTRY_HEARTBEATS});
+			this.#hostEntries.add(entry);
 		}
 	}
 
--- a/packages/entry/src/request/crash-guard.ts
+++ b/packages/entry/src/request/crash-guard.ts
@@ -19,8 +19,8 @@
 	readonly clock: Clock;
 	readonly log: Log;
 	readonly crashes: CrashTracker;
-	/** Called when this host has news for its peers. */
-	readonly onNews: () => void;
+	/** Called when what is known of crashes has changed, so that the peers are told. */
+	readonly onChange: () => void;
 };
 
 /** `Retry-After` of a suspect while another copy of it is in progress, ms. */
@@ -55,12 +55,12 @@
 
 	/** Records that a worker crashed. @param fingerprints requests that ran there. */
 	recordCrash({registration: {id, bornMs}}: Worker, fingerprints: readonly string[]): void {
-		const {crashes, clock, onNews} = this.deps;
+		const {crashes, clock, onChange} = this.deps;
 		const worker = hashText(`${id} ${bornMs}`);
-		const news = fingerprints.filter(fingerprint => crashes.recordCrash(fingerprint, worker, clock.monotonic()));
-		if (news.length > 0) {
-			this.refresh(news);
-			onNews();
+		const changed = fingerprints.filter(fingerprint => crashes.recordCrash(fingerprint, worker, clock.monotonic()));
+		if (changed.length > 0) {
+			this.refresh(changed);
+			onChange();
 		}
 	}
 
@@ -77,7 +77,7 @@
 		const {crashes, clock, log} = this.deps;
 		const nowMs = clock.monotonic();
 		for (const fingerprint of fingerprints) {
-			const verdict = crashes.judge(fingerprint, nowMs);
+			const verdict = crashes.classify(fingerprint, nowMs);
 			if (verdict !== CrashVerdict.Clear) {
 				log.warn({
 					event: 'crash-suspect', fingerprint, verdict, crashes: crashes.countCrashes(fingerprint),
@@ -106,7 +106,7 @@
 		}
 
 		const {value} = fingerprint;
-		switch (crashes.judge(value, clock.monotonic())) {
+		switch (crashes.classify(value, clock.monotonic())) {
 			case CrashVerdict.Quarantined: {
 				return createQuarantineRejection(fingerprint);
 			}
--- a/packages/soak/src/breakages.ts
+++ b/packages/soak/src/breakages.ts
@@ -71,8 +71,8 @@
 	},
 	'keeps-crashes-alone': {
 		file: 'packages/entry/src/peer/crash-reports.ts',
-		from: 'const news = reports.filter(report => crashes.recordPeerReport(report, clock.monotonic()));',
-		to: 'const news: CrashReport[] = [];',
+		from: 'const changed = reports.filter(report => crashes.recordPeerReport(report, clock.monotonic()));',
+		to: 'const changed: CrashReport[] = [];',
 		promise: 'crash',
 	},
 	'keeps-requests': {
--- a/packages/steering/src/crash-tracker.ts
+++ b/packages/steering/src/crash-tracker.ts
@@ -71,7 +71,7 @@
 		return this.#records.size === 0;
 	}
 
-	/** Records that a worker crashed while it ran the request. @returns whether this is news. */
+	/** Records that a worker crashed while it ran the request. @returns whether this changes what is known. */
 	recordCrash(request: string, worker: number, nowMs: number): boolean {
 		const record = this.#getOrCreate(request, nowMs);
 		if (record.workers.has(worker) || record.workers.size >= MAX_WORKERS) {
@@ -98,7 +98,7 @@
 		return true;
 	}
 
-	/** Records what a peer reports. @returns whether this is news. */
+	/** Records what a peer reports. @returns whether this changes what is known. */
 	recordPeerReport({request, generation, workers, ageMs}: CrashReport, nowMs: number): boolean {
 		const known = this.#records.get(request);
 		if (known && generation < known.generation) {
@@ -122,16 +122,16 @@
 		}
 
 		record.lastCrashAtMs = Math.max(record.lastCrashAtMs, nowMs - ageMs);
-		const isNews = isLater || record.workers.size > sizeBefore;
-		if (isNews) {
+		const hasChanged = isLater || record.workers.size > sizeBefore;
+		if (hasChanged) {
 			record.remainingReports = REPORTS_PER_CHANGE;
 		}
 
-		return isNews;
+		return hasChanged;
 	}
 
 	/** Judges a request by the crashes that no quarantined request explains. */
-	judge(request: string, nowMs: number): CrashVerdict {
+	classify(request: string, nowMs: number): CrashVerdict {
 		const record = this.#records.get(request);
 		const crashes = record ? this.#countUnexplained(record) : 0;
 		if (!record || crashes < SUSPECT_CRASHES) {
@@ -150,7 +150,7 @@
 
 	/** Fingerprints of the requests that are quarantined. */
 	listQuarantined(nowMs: number): string[] {
-		return [...this.#records.keys()].filter(request => this.judge(request, nowMs) === CrashVerdict.Quarantined);
+		return [...this.#records.keys()].filter(request => this.classify(request, nowMs) === CrashVerdict.Quarantined);
 	}
 
 	/** Takes what peers are to be told now: recent changes, and from time to time all suspects. */
--- a/test/entry/crash-reports.test.ts
+++ b/test/entry/crash-reports.test.ts
@@ -51,7 +51,7 @@
 
 			await cluster.clock.advanceAsync(1500);
 			const nowMs = cluster.clock.monotonic();
-			assert.deepEqual(new Set(hosts.map(({crashes}) => crashes.judge(REQUEST, nowMs))), new Set([CrashVerdict.Quarantined]));
+			assert.deepEqual(new Set(hosts.map(({crashes}) => crashes.classify(REQUEST, nowMs))), new Set([CrashVerdict.Quarantined]));
 		});
 	}
 }
@@ -68,8 +68,8 @@
 	}
 
 	await cluster.clock.advanceAsync(5000);
-	assert.equal(late.crashes.judge(REQUEST, cluster.clock.monotonic()), CrashVerdict.Clear);
+	assert.equal(late.crashes.classify(REQUEST, cluster.clock.monotonic()), CrashVerdict.Clear);
 	cluster.isolatedHosts.clear();
 	await cluster.clock.advanceAsync(5000);
-	assert.equal(late.crashes.judge(REQUEST, cluster.clock.monotonic()), CrashVerdict.Quarantined);
+	assert.equal(late.crashes.classify(REQUEST, cluster.clock.monotonic()), CrashVerdict.Quarantined);
 });
--- a/test/steering/crash-tracker.test.ts
+++ b/test/steering/crash-tracker.test.ts
@@ -15,15 +15,15 @@
 
 test('crash tracker: two crashes of different workers make a request a suspect, three quarantine it', () => {
 	const crashes = new CrashTracker();
-	assert.equal(crashes.judge(REQUEST, 0), CrashVerdict.Clear);
+	assert.equal(crashes.classify(REQUEST, 0), CrashVerdict.Clear);
 	assert.equal(crashes.recordCrash(REQUEST, 1, 0), true);
 	assert.equal(crashes.recordCrash(REQUEST, 1, 10), false);
-	assert.equal(crashes.judge(REQUEST, 10), CrashVerdict.Clear);
+	assert.equal(crashes.classify(REQUEST, 10), CrashVerdict.Clear);
 	crashes.recordCrash(REQUEST, 2, 20);
-	assert.equal(crashes.judge(REQUEST, 20), CrashVerdict.Suspect);
+	assert.equal(crashes.classify(REQUEST, 20), CrashVerdict.Suspect);
 	crashes.recordCrash(REQUEST, 3, 30);
-	assert.equal(crashes.judge(REQUEST, 30), CrashVerdict.Quarantined);
-	assert.equal(crashes.judge('other', 30), CrashVerdict.Clear);
+	assert.equal(crashes.classify(REQUEST, 30), CrashVerdict.Quarantined);
+	assert.equal(crashes.classify('other', 30), CrashVerdict.Clear);
 	assert.deepEqual(crashes.listQuarantined(30), [REQUEST]);
 });
 
@@ -34,31 +34,31 @@
 	assert.equal(crashes.recordResponse(REQUEST, 300), true);
 	assert.equal(crashes.recordResponse(REQUEST, 310), false);
 	assert.equal(crashes.recordPeerReport({...late!, workers: [1, 2, 3]}, 400), false);
-	assert.equal(crashes.judge(REQUEST, 400), CrashVerdict.Clear);
+	assert.equal(crashes.classify(REQUEST, 400), CrashVerdict.Clear);
 	const peer = new CrashTracker();
 	recordCrashes(peer, REQUEST, [1, 2, 4]);
 	assert.equal(peer.recordPeerReport(crashes.takeReports(400)[0]!, 400), true);
-	assert.equal(peer.judge(REQUEST, 400), CrashVerdict.Clear);
+	assert.equal(peer.classify(REQUEST, 400), CrashVerdict.Clear);
 });
 
 test('crash tracker: crashes at which a quarantined request was running do not count against others', () => {
 	const crashes = new CrashTracker();
 	recordCrashes(crashes, REQUEST, [1, 2, 3, 4]);
 	recordCrashes(crashes, 'bystander', [1, 2, 4]);
-	assert.equal(crashes.judge('bystander', 500), CrashVerdict.Clear);
+	assert.equal(crashes.classify('bystander', 500), CrashVerdict.Clear);
 	recordCrashes(crashes, 'second cause', [4, 5, 6, 7]);
-	assert.equal(crashes.judge('second cause', 900), CrashVerdict.Quarantined);
-	assert.equal(crashes.judge(REQUEST, 900), CrashVerdict.Quarantined);
+	assert.equal(crashes.classify('second cause', 900), CrashVerdict.Quarantined);
+	assert.equal(crashes.classify(REQUEST, 900), CrashVerdict.Quarantined);
 });
 
 test('crash tracker: a quarantine ends, the request is a suspect then, and a further crash doubles the time', () => {
 	const crashes = new CrashTracker();
 	recordCrashes(crashes, REQUEST, [1, 2, 3]);
-	assert.equal(crashes.judge(REQUEST, 9 * MINUTE_MS), CrashVerdict.Quarantined);
-	assert.equal(crashes.judge(REQUEST, 11 * MINUTE_MS), CrashVerdict.Suspect);
+	assert.equal(crashes.classify(REQUEST, 9 * MINUTE_MS), CrashVerdict.Quarantined);
+	assert.equal(crashes.classify(REQUEST, 11 * MINUTE_MS), CrashVerdict.Suspect);
 	crashes.recordCrash(REQUEST, 4, 11 * MINUTE_MS);
-	assert.equal(crashes.judge(REQUEST, 30 * MINUTE_MS), CrashVerdict.Quarantined);
-	assert.equal(crashes.judge(REQUEST, 32 * MINUTE_MS), CrashVerdict.Suspect);
+	assert.equal(crashes.classify(REQUEST, 30 * MINUTE_MS), CrashVerdict.Quarantined);
+	assert.equal(crashes.classify(REQUEST, 32 * MINUTE_MS), CrashVerdict.Suspect);
 	crashes.takeReports(60 * MINUTE_MS);
 	assert.equal(crashes.isEmpty, true);
 });
@@ -78,7 +78,7 @@
 	}
 
 	assert.ok(kept < (256 * 4) + 20, `${kept} entries`);
-	assert.equal(crashes.judge(REQUEST, 30_000), CrashVerdict.Quarantined);
+	assert.equal(crashes.classify(REQUEST, 30_000), CrashVerdict.Quarantined);
 });
 
 test('crash tracker: hosts agree after reports that are lost, repeated and out of order (40 seeds)', () => {
@@ -115,7 +115,7 @@
 		}
 
 		for (const request of ['r0', 'r1', 'r2']) {
-			const verdicts = new Set(hosts.map(host => host.judge(request, nowMs)));
+			const verdicts = new Set(hosts.map(host => host.classify(request, nowMs)));
 			assert.equal(verdicts.size, 1, `seed ${seed}: ${request} is ${[...verdicts].join(', ')}`);
 		}
 	}
