fix(entry): an entry of an earlier start does not undo what a worker has said

Trace: the store was restored, its history was lost once more, and the whole read gave the entry of the worker's earlier start; the backoff is kept with the start of the worker, which was not that of the entry, so it was not found, and the rejections that followed were ignored as those of an earlier start. Leaving had the same fault.

What was said holds for the start that said it and earlier ones; only a later start ends it.

--- a/packages/entry/src/host/worker-access.ts
+++ b/packages/entry/src/host/worker-access.ts
@@ -56,6 +56,7 @@
 		});
 		this.feedback = new WorkerFeedback({
 			...deps,
+			fleet: state.fleet,
 			drains: this.drains,
 			backoffs: this.backoffs,
 			onDraining: worker => {
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -26,6 +26,7 @@
 export {PeerReports, type ReportTopic} from './peer/reports.js';
 export {RateLimitReports, decodeRateLimits, encodeRateLimits} from './peer/rate-limit-reports.js';
 export {IsolationReports} from './peer/isolation-reports.js';
+export {WorkerFeedback, type AnsweredRequest, type WorkerFeedbackDeps} from './upstream/worker-feedback.js';
 export {DrainReports, type DrainReportsDeps} from './peer/drain-reports.js';
 export {RejectionCode, type Rejection} from './request/rejection.js';
 export {RequestForwarder, type RequestForwarderDeps, type PeerSender} from './request/request-forwarder.js';
--- a/packages/entry/src/upstream/worker-feedback.ts
+++ b/packages/entry/src/upstream/worker-feedback.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@apricotwood/clock';
 import type {
-	BackoffTracker, DrainTracker, RateLimitTracker, Worker,
+	BackoffTracker, DrainTracker, Fleet, RateLimitTracker, Worker,
 } from '@apricotwood/steering';
 import type {Log} from '@apricotwood/telemetry';
 import type {HealthCheckResult, ResponseMetadata, WorkerNotice} from '../dialect.js';
@@ -9,6 +9,7 @@
 export type WorkerFeedbackDeps = {
 	readonly clock: Clock;
 	readonly log: Log;
+	readonly fleet: Fleet;
 	readonly drains: DrainTracker;
 	readonly backoffs: BackoffTracker;
 	readonly rateLimits: RateLimitTracker;
@@ -32,9 +33,9 @@
 export class WorkerFeedback {
 	constructor(private readonly deps: WorkerFeedbackDeps) {}
 
-	/** Records the head of a response. One of another worker says nothing of this one. */
+	/** Records the head of a response. One of another worker, or of an earlier start, says nothing of this one. */
 	recordResponse(worker: Worker, metadata: ResponseMetadata, req: AnsweredRequest): void {
-		if (metadata.isOtherWorker) {
+		if (metadata.isOtherWorker || this.#hasRestarted(worker)) {
 			return;
 		}
 
@@ -48,11 +49,17 @@
 	/** Records the response to a health check. */
 	recordHealthCheck(worker: Worker, result: HealthCheckResult, sentAtMs: number): void {
 		const isOtherWorker = result.worker !== undefined && result.worker !== worker.registration.id;
-		if (!isOtherWorker) {
+		if (!isOtherWorker && !this.#hasRestarted(worker)) {
 			this.#recordNotice(worker, result, {id: undefined, sentAtMs});
 		}
 	}
 
+	/** Whether the worker has started again since the request was sent. */
+	#hasRestarted({registration: {id, bornMs}}: Worker): boolean {
+		const current = this.deps.fleet.get(id);
+		return current !== undefined && current.registration.bornMs > bornMs;
+	}
+
 	#recordNotice(worker: Worker, {isDraining, retryAfterMs}: WorkerNotice, req: AnsweredRequest): void {
 		const {drains, onDraining, log} = this.deps;
 		const {hash, registration: {id, bornMs}} = worker;
--- a/packages/steering/src/backoff-tracker.ts
+++ b/packages/steering/src/backoff-tracker.ts
@@ -3,7 +3,7 @@
 
 /** Backoff of one worker. Times are monotonic ms. */
 type Backoff = {
-	/** Start of the worker that asked for it, Unix ms. */
+	/** Start of the worker that asked for it, Unix ms, the latest one that is known. */
 	readonly bornMs: number;
 	/** Time until which the worker gets nothing. */
 	readonly untilMs: number;
@@ -28,7 +28,9 @@
  * A later response to an earlier request, or a passed health check, does not end
  * a backoff; of several, the longest applies. Afterwards the host sends a trial now
  * and then, the hosts at different times, until one is not rejected, so that the
- * worker does not get at once all that was held back. Times are monotonic ms.
+ * worker does not get at once all that was held back. A later start of the worker
+ * ends its backoff; an entry of an earlier start, from a store that was restored,
+ * does not. Times are monotonic ms.
  */
 export class BackoffTracker {
 	readonly #backoffs = new Map<number, Backoff>();
@@ -50,15 +52,15 @@
 	/** Records that the worker has rejected a request and asked to wait. @returns whether no backoff was in progress. */
 	recordRejection(worker: Worker, retryAfterMs: number, nowMs: number): boolean {
 		const {hash, registration: {bornMs}} = worker;
-		const previous = this.#backoffs.get(hash);
-		if (retryAfterMs <= 0 || (previous && previous.bornMs > bornMs)) {
+		const previous = this.#get(worker);
+		if (retryAfterMs <= 0) {
 			return false;
 		}
 
-		const previousEndMs = previous?.bornMs === bornMs ? previous.untilMs : Number.NEGATIVE_INFINITY;
+		const previousEndMs = previous?.untilMs ?? Number.NEGATIVE_INFINITY;
 		const untilMs = Math.max(previousEndMs, nowMs + retryAfterMs + this.#computeSpreadMs(hash, retryAfterMs));
 		this.#put(hash, {
-			bornMs, untilMs, nextTrialMs: untilMs, trialIntervalMs: Math.min(MAX_TRIAL_INTERVAL_MS, retryAfterMs),
+			bornMs: Math.max(bornMs, previous?.bornMs ?? 0), untilMs, nextTrialMs: untilMs, trialIntervalMs: Math.min(MAX_TRIAL_INTERVAL_MS, retryAfterMs),
 		});
 		return previousEndMs <= nowMs;
 	}
@@ -81,7 +83,7 @@
 
 	#get({hash, registration}: Worker): Backoff | undefined {
 		const backoff = this.#backoffs.get(hash);
-		return backoff?.bornMs === registration.bornMs ? backoff : undefined;
+		return backoff && registration.bornMs <= backoff.bornMs ? backoff : undefined;
 	}
 
 	#put(worker: number, backoff: Backoff): void {
--- a/packages/steering/src/drain-tracker.ts
+++ b/packages/steering/src/drain-tracker.ts
@@ -20,9 +20,9 @@
 	/** Start of the worker that is leaving, by the hash of its id, in the order in which this became known. */
 	readonly #bornMs = new Map<number, number>();
 
-	/** Whether the worker, in its present incarnation, has said that it is leaving. */
+	/** Whether the worker, in its present incarnation, has said that it is leaving. An entry of an earlier start, from a store that was restored, changes nothing. */
 	isDraining({hash, registration}: Worker): boolean {
-		return this.#bornMs.get(hash) === registration.bornMs;
+		return registration.bornMs <= (this.#bornMs.get(hash) ?? Number.NEGATIVE_INFINITY);
 	}
 
 	/** Records that a worker is leaving. @returns whether this was not known. */
--- a/test/steering/drain-tracker.test.ts
+++ b/test/steering/drain-tracker.test.ts
@@ -17,6 +17,8 @@
 	drains.reset(worker);
 	assert.equal(drains.isDraining(worker), true);
 	assert.equal(drains.isDraining(createWorker(20)), false);
+	// An entry of an earlier start, from a store that was restored.
+	assert.equal(drains.isDraining(createWorker(5)), true);
 });
 
 test('a late response of an earlier start does not make the present one leave', () => {
