--- a/packages/soak/src/environment.ts
+++ b/packages/soak/src/environment.ts
@@ -211,8 +211,8 @@
 	}
 
 	/** Records in `periods` that something holds from now on. @returns a function that ends it. */
-	recordPeriod<T extends Period>(periods: T[], fields: Omit<T, 'fromMs' | 'untilMs'>): () => void {
-		const period = {...fields, fromMs: Date.now(), untilMs: Number.POSITIVE_INFINITY} as T;
+	recordPeriod<T extends Period>(periods: T[], create: (period: Period) => T): () => void {
+		const period = create({fromMs: Date.now(), untilMs: Number.POSITIVE_INFINITY});
 		periods.push(period);
 		return () => {
 			period.untilMs = Date.now();
@@ -288,7 +288,7 @@
 	}
 
 	#recordOldBuild(host: string): void {
-		this.#endsOfOldBuilds.set(host, this.recordPeriod(this.records.oldBuilds, {host}));
+		this.#endsOfOldBuilds.set(host, this.recordPeriod(this.records.oldBuilds, period => ({...period, host})));
 	}
 
 	/** Clears all faults and waits until all hosts are ready. @returns ids and process states of hosts that are not ready in time. */
--- a/packages/soak/src/fault-injection.ts
+++ b/packages/soak/src/fault-injection.ts
@@ -207,8 +207,9 @@
 		return;
 	}
 
-	worker.rateLimit = MIN_RATE_LIMIT + ((MAX_RATE_LIMIT - MIN_RATE_LIMIT) * fault.how);
-	const end = environment.recordPeriod(environment.records.limits, {worker: id, perSecond: worker.rateLimit});
+	const perSecond = MIN_RATE_LIMIT + ((MAX_RATE_LIMIT - MIN_RATE_LIMIT) * fault.how);
+	worker.rateLimit = perSecond;
+	const end = environment.recordPeriod(environment.records.limits, period => ({...period, worker: id, perSecond}));
 	await pause(fault.forMs);
 	end();
 	worker.rateLimit = undefined;
@@ -223,7 +224,7 @@
 
 	endpoint.isLeaving = true;
 	endpoint.worker.isDraining = true;
-	const end = environment.recordPeriod(environment.records.leavings, {worker: endpoint.id});
+	const end = environment.recordPeriod(environment.records.leavings, period => ({...period, worker: endpoint.id}));
 	await pause(fault.forMs);
 	end();
 	endpoint.worker.isDraining = false;
@@ -240,7 +241,7 @@
 
 	const retryAfterMs = Math.round(MIN_RETRY_AFTER_MS + ((MAX_RETRY_AFTER_MS - MIN_RETRY_AFTER_MS) * fault.how));
 	worker.retryAfter = String(retryAfterMs / MS_PER_SECOND);
-	const end = environment.recordPeriod(environment.records.backoffs, {worker: id, retryAfterMs});
+	const end = environment.recordPeriod(environment.records.backoffs, period => ({...period, worker: id, retryAfterMs}));
 	await pause(fault.forMs);
 	end();
 	worker.retryAfter = undefined;
--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -222,11 +222,9 @@
 	assert.deepEqual(findBrokenPromises(createRecordsOf('h1', 12_100)), []);
 	assert.deepEqual(findBrokenPromises(createRecordsOf('h2', 12_300)), []);
 	assert.deepEqual(findBrokenPromises({...createRecordsOf('h1', 12_300), leavings: [{...leavings[0]!, untilMs: 12_000}]}), []);
-	const [disturbance] = [{
-		kind: FaultKind.HostKill, subject: 'h1', fromMs: 11_000, untilMs: 11_500,
-	}];
-	assert.deepEqual(findBrokenPromises({...createRecordsOf('h1', 12_300), disturbances: [disturbance!]}), []);
-	assert.deepEqual(findBrokenPromises({...createRecordsOf('h1', 12_300), disturbances: [{...disturbance!, subject: 'store'}]}), ['leaving']);
+	const disturbance = {kind: FaultKind.HostKill, fromMs: 11_000, untilMs: 11_500};
+	assert.deepEqual(findBrokenPromises({...createRecordsOf('h1', 12_300), disturbances: [{...disturbance, subject: 'h1'}]}), []);
+	assert.deepEqual(findBrokenPromises({...createRecordsOf('h1', 12_300), disturbances: [{...disturbance, subject: 'store'}]}), ['leaving']);
 });
 
 test('promises: reports a worker that gets requests from a host that it has told to wait', () => {
