--- a/packages/soak/src/fault-injection.ts
+++ b/packages/soak/src/fault-injection.ts
@@ -4,7 +4,8 @@
 import {FaultKind, type Fault} from './plan.js';
 import {STORE_SUBJECT} from './promises.js';
 import {LinkState, type Link} from './proxy.js';
-import {ZONES, type WorkerEndpoint, type SoakEnvironment} from './environment.js';
+import {ZONES, type SoakEnvironment} from './environment.js';
+import type {WorkerEndpoint} from './worker-endpoint.js';
 
 /** Variants of the link faults. */
 const LINK_FAULTS = [LinkState.Delayed, LinkState.Reset, LinkState.Silent, LinkState.OneWay] as const;
