fix(soak): an isolated host is compared with the others at the same time

Trace: from 13.5 to 14.5 s two workers of the service had left and the other two had crashed; all hosts answered no-worker in these half seconds, 92 of the 124 calls at host-4 fall into them, and 59 of the 104 at the others. In the half second after, host-4 served 28 of 31, the others 12 of 14. So the case is allowed.

Each call is compared with those of the other hosts within 250 ms; where there is none, with all of them. Where the others serve evenly the check is the same.

--- a/packages/soak/src/isolation.ts
+++ b/packages/soak/src/isolation.ts
@@ -10,6 +10,8 @@
 /** Calls by which a host may serve fewer than it would as often as the others: this number, and a ratio of all calls. */
 const ALLOWED_FAILURES = 10;
 const ALLOWED_FAILURE_RATIO = 0.02;
+/** Largest distance of calls that are compared, ms. */
+const CONCURRENT_MS = 250;
 
 /** Calls at hosts that reach no worker are served nearly as often as those at the others. */
 export function checkIsolation(records: SoakRecords): Violation[] {
@@ -21,15 +23,31 @@
 		&& isUndisturbed(records, fromMs, endAtMs, [host]));
 	const isolated = counted.filter(({host}) => host === subject);
 	const others = counted.filter(({host}) => !records.isolations.some(isolation => isolation.subject === host && isolation.fromMs < untilMs && isolation.untilMs > fromMs));
-	const servedRatio = others.length === 0 ? 1 : countServed(others) / others.length;
-	const missing = (servedRatio * isolated.length) - countServed(isolated);
+	const expected = computeExpected(isolated, others);
+	const missing = expected - countServed(isolated);
 	const allowed = ALLOWED_FAILURES + (ALLOWED_FAILURE_RATIO * counted.length);
-	const isWorse = countServed(isolated) * others.length < MIN_SERVED_RATIO * countServed(others) * isolated.length;
+	const isWorse = countServed(isolated) < MIN_SERVED_RATIO * expected;
 	return isWorse && missing > allowed
 		? [{promise: 'isolated', subject, message: `served ${countServed(isolated)} of ${isolated.length} calls while it reached no worker, the others ${countServed(others)} of ${others.length}`}]
 		: [];
 }
 
+/** Number of calls that would have been served as often as the others at the same time. What all hosts fail alike for a while does not count, whichever of them got more calls then. */
+function computeExpected(calls: readonly Call[], others: readonly Call[]): number {
+	let expected = 0;
+	for (const {sentAtMs} of calls) {
+		const concurrent = others.filter(other => Math.abs(other.sentAtMs - sentAtMs) <= CONCURRENT_MS);
+		expected += computeServedRatio(concurrent.length > 0 ? concurrent : others);
+	}
+
+	return expected;
+}
+
+/** Ratio of the calls that were served; 1 if there are none. */
+function computeServedRatio(calls: readonly Call[]): number {
+	return calls.length === 0 ? 1 : countServed(calls) / calls.length;
+}
+
 function countServed(calls: readonly Call[]): number {
 	return calls.filter(({end, status}) => end === CallEnd.Answered && status === 200).length;
 }
--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -204,6 +204,10 @@
 	}];
 	const runs = calls.filter(({status}) => status === 200).map(({id}) => createRun({id}));
 	assert.deepEqual(findBrokenPromises({calls, runs, isolations}), []);
+	// Seed 51003: the isolated host got most of its calls in the second in which no host had a worker.
+	const early = createCalls('h2', 40).map(call => ({...call, sentAtMs: call.sentAtMs - 2000, endAtMs: call.endAtMs - 2000}));
+	const outage = [...createCalls('h1', 0), ...createCalls('h3', 0), ...early];
+	assert.deepEqual(findBrokenPromises({calls: outage, runs: early.map(({id}) => createRun({id})), isolations: [{...isolations[0]!, fromMs: 8000}]}), []);
 	const othersServed = calls.map(call => call.host === 'h1' ? call : {...call, status: 200});
 	assert.deepEqual(findBrokenPromises({calls: othersServed, runs: othersServed.map(({id}) => createRun({id})), isolations}), ['isolated']);
 });
