fix(entry): a broken connection to another host is no broken attempt at a worker

Found by reading the change: the split of attempt.ts, which was to change nothing, moved the count of broken attempts to a place that requests passed on to another host reach as well. A connection to a host that ends without a response would have counted like a worker that may have crashed: no repeat of an idempotent request, and its fingerprint in the log. No caller was seen to be hit by it, and no test has the case. The count is back where only attempts at workers come by.

--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -68,7 +68,7 @@
 		return this.#mayHaveRun;
 	}
 
-	/** Number of attempts whose connection ended without a response. */
+	/** Number of attempts at workers whose connection ended without a response. */
 	get brokenAttempts(): number {
 		return this.#brokenAttempts;
 	}
@@ -96,6 +96,7 @@
 		recordOutcome(this.deps, this.request, {
 			worker, placement, result, durationMs: record.ms!, networkMs, hasTimedOut: record.end === TIMEOUT_END,
 		});
+		this.#brokenAttempts += Number(hasBrokenConnection(result));
 		onCapacityFreed();
 		return result;
 	}
@@ -233,7 +234,6 @@
 		record.ms = Math.round(this.deps.clock.monotonic() - startAtMs);
 		record.end ??= result.end === ExchangeEnd.Answered ? String(result.head?.status) : result.end;
 		this.#mayHaveRun ||= result.mayHaveRun;
-		this.#brokenAttempts += Number(hasBrokenConnection(result));
 	}
 }
 
