--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -43,6 +43,7 @@
 
 	const counts = {answers: 0, extras: 0};
 	let isFaulty = false;
+	let rejectedBookings = 0;
 	const lastRejections = new Map();
 	const {answer, shed} = worker;
 	worker.answer = (...args) => {
@@ -53,6 +54,7 @@
 	worker.shed = request => {
 		counts.answers++;
 		if (request.url.startsWith('/book/')) {
+			rejectedBookings++;
 			lastRejections.set(request.req.socket, request.id);
 		}
 
@@ -124,6 +126,10 @@
 	}
 
 	await Promise.all(reads);
+	if (rejectedBookings === 0) {
+		throw new Error('the worker has rejected no booking');
+	}
+
 	let broken = 0;
 	for (const {id, status} of bookings) {
 		const runs = worker.run.filter(request => request.id === id).length;
--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -24,14 +24,27 @@
 	const closers = [];
 	let exitCode = NOT_RUN;
 	let deployment;
-	const timer = setTimeout(() => {
-		record.write('timeout');
-		for (const host of deployment?.hosts ?? []) {
-			host.kill();
-		}
-
+	const giveUp = reason => {
+		record.write('given-up', {reason});
+		deployment?.killNow();
 		process.exit(NOT_RUN); // eslint-disable-line unicorn/no-process-exit
+	};
+
+	const timer = setTimeout(() => {
+		giveUp('timeout');
 	}, TIMEOUT_MS);
+	for (const name of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+		process.once(name, () => {
+			giveUp(name);
+		});
+	}
+
+	for (const name of ['uncaughtException', 'unhandledRejection']) {
+		process.once(name, error => {
+			giveUp(`${name}: ${error?.stack}`);
+		});
+	}
+
 	try {
 		const store = await new Store().start();
 		deployment = new Deployment(store, record, settings);
--- a/review/lib/hosts.mjs
+++ b/review/lib/hosts.mjs
@@ -13,18 +13,27 @@
 
 const ROOT = fileURLToPath(new URL('../..', import.meta.url));
 const READY_TIMEOUT_MS = 15_000;
-/** Port of the metrics, from the deploy file. */
-const METRICS_PORT = Number(/^metrics = "(\d+)\//m.exec(readFileSync(path.join(ROOT, 'deploy/system.toml'), 'utf8'))[1]);
-const RUN_WORDS = /^run = "([^"]+)"/m.exec(readFileSync(path.join(ROOT, 'deploy/system.toml'), 'utf8'))[1].split(' ');
+/** Path of the deploy file. */
+const DEPLOY_FILE = path.join(ROOT, 'deploy/system.toml');
 const PORT_COUNT = 5;
 
+/** Reads the command of the program and the port of its metrics from the deploy file. */
+function readDeployFile() {
+	const text = readFileSync(DEPLOY_FILE, 'utf8');
+	return {
+		runWords: /^run = "([^"]+)"/m.exec(text)[1].split(' '),
+		metricsPort: Number(/^metrics = "(\d+)\//m.exec(text)[1]),
+	};
+}
+
 /** Finds a loopback address on which the port of the metrics is free, and further free ports there. */
 async function findAddress() {
+	const {metricsPort} = readDeployFile();
 	for (;;) {
 		const ip = `127.${100 + Math.floor(Math.random() * 100)}.${Math.floor(Math.random() * 250)}.${2 + Math.floor(Math.random() * 250)}`;
 		const servers = Array.from({length: PORT_COUNT + 1}, () => createServer());
 		try {
-			const [, ...addresses] = await Promise.all(servers.map(async (server, index) => listen(server, ip, index === 0 ? METRICS_PORT : 0)));
+			const [, ...addresses] = await Promise.all(servers.map(async (server, index) => listen(server, ip, index === 0 ? metricsPort : 0)));
 			return {ip, ports: addresses.map(address => Number(address.split(':')[1]))};
 		} catch {
 			// Another program uses the port on this address.
@@ -77,7 +86,7 @@
 		const {folder, record} = this.deployment;
 		const log = openSync(path.join(folder, `${this.id}.log`), 'a');
 		const {PATH, HOME, LANG} = process.env;
-		const [program, ...args] = RUN_WORDS;
+		const [program, ...args] = readDeployFile().runWords;
 		const child = spawn(program === 'node' ? process.execPath : program, args, {
 			cwd: ROOT, env: {PATH, HOME, LANG, APRICOTWOOD_SETTINGS: this.settingsPath}, stdio: ['ignore', log, log],
 		});
@@ -152,8 +161,15 @@
 		}
 
 		await Promise.all(this.hosts.map(({exited}) => exited));
-		if (process.env.KEEP === undefined) {
-			rmSync(this.folder, {recursive: true, force: true});
+		rmSync(this.folder, {recursive: true, force: true});
+	}
+
+	/** Ends all processes without waiting for their ends. */
+	killNow() {
+		for (const host of this.hosts) {
+			host.kill();
 		}
+
+		rmSync(this.folder, {recursive: true, force: true});
 	}
 }
