fix(entry): a worker's response may have several Connection lines (LOST, odd headers)

Callers' connections were closed without an answer, once a worker had run the request, when its response had two `Connection` lines: undici gives them as a list, which was used as a text (`TypeError: value.toLowerCase is not a function`, `request-failed`). The class is that of the odd entries: what others write is taken to have the usual form.

Change: all lines are read. An exception that a request meets anyway is answered 502 where no response has started, rather than hidden by a closed connection (no case is known now, so no test has it).

Test: entry/odd-headers; its first case failed before ("socket hang up"), six other odd headers were met before as well.

--- a/packages/entry/src/request/headers.ts
+++ b/packages/entry/src/request/headers.ts
@@ -29,7 +29,7 @@
 
 /** Copies the response headers that are forwarded to the caller. */
 export function copyResponseHeaders(headers: ResponseHeaders): Record<string, string | string[]> {
-	const connectionHeaders = parseConnectionHeader(headers.connection as string | undefined);
+	const connectionHeaders = parseConnectionHeader(headers.connection);
 	const copy: Record<string, string | string[]> = {};
 	for (const [name, value] of Object.entries(headers)) {
 		if (value !== undefined && !UNFORWARDED_HEADERS.has(name) && !connectionHeaders.has(name)) {
@@ -51,7 +51,8 @@
 	return bytes;
 }
 
-/** Parses the names of further hop-by-hop headers from a `Connection` header, in lower case. */
-function parseConnectionHeader(value: string | undefined): Set<string> {
-	return value === undefined ? new Set() : new Set(value.toLowerCase().split(',').map(option => option.trim()));
+/** Parses the names of further hop-by-hop headers from the `Connection` header, of which there may be several lines, in lower case. */
+function parseConnectionHeader(value: string | string[] | undefined): Set<string> {
+	const options = [value ?? []].flat().join(',');
+	return new Set(options.toLowerCase().split(',').map(option => option.trim()));
 }
--- a/packages/entry/src/request/ingress.ts
+++ b/packages/entry/src/request/ingress.ts
@@ -5,7 +5,9 @@
 import type {ReplicatedState} from '../state/replicated-state.js';
 import {MAX_PARSED_HEADER_BYTES, countHeaderBytes} from './headers.js';
 import type {SessionDeps} from './session-deps.js';
-import {RejectionCode, createNotRunRejection, sendRejection, type Rejection} from './rejection.js';
+import {
+	RejectionCode, createNotRunRejection, createUnknownOutcomeRejection, sendRejection, type Rejection,
+} from './rejection.js';
 import {Session} from './session.js';
 
 /** Margin by which the server's keep-alive timeout exceeds the callers' idle timeout, ms, so that no request is sent while the server closes the connection. */
@@ -87,7 +89,7 @@
 			await this.#serve(req, res, isForwarded);
 		} catch (error) {
 			this.deps.log.error({event: 'request-failed', url: req.url, message: (error as Error).stack});
-			res.destroy();
+			sendRejection(res, createUnknownOutcomeRejection(RejectionCode.Unknown, 'this host failed to handle the request'));
 		} finally {
 			this.#running--;
 		}
--- /dev/null
+++ b/test/entry/odd-headers.test.ts
@@ -0,0 +1,58 @@
+import assert from 'node:assert/strict';
+import type {Socket} from 'node:net';
+import {after, before, test} from 'node:test';
+import {FakeStore, createOperatorConfig} from '@apricotwood/platform/standin';
+import {RawWorker} from '../fixtures/raw-worker.js';
+import {TestEntryHost, waitUntil, freePorts} from '../fixtures/test-entry-host.js';
+
+const store = new FakeStore();
+let host: TestEntryHost;
+let respond: (socket: Socket, id: string) => void = () => {};
+const worker = new RawWorker((socket, _request, head) => {
+	const id = /request-id: (\S+)/i.exec(head)?.[1] ?? '';
+	if (head.startsWith('GET /health')) {
+		socket.write('HTTP/1.1 200 OK\r\nInstance-Id: w1\r\nContent-Length: 0\r\n\r\n');
+	} else {
+		respond(socket, id);
+	}
+});
+
+before(async () => {
+	await store.start();
+	store.putConfig(createOperatorConfig(2, ['board']));
+	await worker.start();
+	store.putWorker('w1', {
+		addr: worker.address, born: 1, info: {service: 'board', zone: 'a1', version: 'v1', slots: 4}, status: {state: 'ready', sequence: 1, cold_remaining: '0ms'},
+	});
+	host = await new TestEntryHost('127.0.0.76', await freePorts(5), store.address).start();
+	await waitUntil('the host is ready', () => host.host.isReady && host.host.state.fleet.size === 1);
+});
+
+after(async () => {
+	await host.stop();
+	await worker.stop();
+	await store.stop();
+});
+
+const ODD_HEADERS = [
+	['two Connection lines', 'Connection: keep-alive\r\nConnection: x-hop\r\nX-Hop: 1\r\n'],
+	['a value in UTF-8', 'X-Name: \u20AC\r\n'],
+	['a value in Latin-1', 'X-Name: caf\u00E9\r\n'],
+	['a value that is empty', 'X-Name:\r\n'],
+	['two ids of the worker', 'Server-Load: 1,0,4\r\nServer-Load: 2,0,4\r\n'],
+	['a very long value', `X-Name: ${'x'.repeat(15_000)}\r\n`],
+	['a name that objects have', '__proto__: x\r\nconstructor: y\r\n'],
+] as const;
+for (const [name, lines] of ODD_HEADERS) {
+	// LOST: two `Connection` lines made the host close the caller's connection without an answer.
+	test(`a response with odd headers reaches its caller: ${name}`, async () => {
+		const encoding = name === 'a value in Latin-1' ? 'latin1' : 'utf8';
+		respond = (socket, id) => {
+			socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Signature: s\r\n${lines}Content-Length: 4\r\n\r\nbody`, encoding);
+		};
+
+		const {status, body, headers} = await host.send('/book/x', {method: 'POST'});
+		assert.deepEqual([status, body], [200, 'body']);
+		assert.equal(headers['x-hop'], undefined);
+	});
+}
