--- a/test/entry/odd-headers.test.ts
+++ b/test/entry/odd-headers.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {Agent, request as httpRequest} from 'node:http';
 import type {Socket} from 'node:net';
 import {after, before, test} from 'node:test';
 import {FakeStore, createOperatorConfig} from '@apricotwood/platform/standin';
@@ -56,3 +57,44 @@
 		assert.equal(headers['x-hop'], undefined);
 	});
 }
+
+// ORDER (report of another operator): what a cut head left behind was taken for the next answer on the caller's connection.
+test('after a response whose head was cut, the next one on the connection of the caller is its own', async () => {
+	const agent = new Agent({keepAlive: true, maxSockets: 1});
+	const [ip, port] = host.settings.entry.self.callerAddress.split(':');
+	const statuses: Array<number | undefined> = [];
+	for (let index = 0; index < 20; index++) {
+		const isCut = index % 2 === 0;
+		respond = (socket, id) => {
+			const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Signature: s\r\nContent-Length: ${id.length}\r\n\r\n`;
+			if (isCut) {
+				socket.end(head.slice(0, 20 + (index * 3)));
+			} else {
+				socket.write(head + id);
+			}
+		};
+
+		const id = `order-${index}`;
+		const {status, body} = await new Promise<{status: number | undefined; body: string}>((resolve, reject) => {
+			const req = httpRequest({
+				host: ip!, port: Number(port), path: '/book/x', method: 'POST', agent, headers: {host: 'a.example', 'request-id': id, 'request-deadline-ms': '1400'},
+			}, res => {
+				let text = '';
+				res.on('data', chunk => {
+					text += String(chunk);
+				});
+				res.on('end', () => {
+					resolve({status: res.statusCode, body: text});
+				});
+			});
+			req.on('error', reject);
+			req.end();
+		});
+		statuses.push(status);
+		assert.ok(status !== 200 || (!isCut && body === id), `${id} was answered ${status}: ${body}`);
+	}
+
+	agent.destroy();
+	assert.ok(statuses.includes(200));
+	assert.ok(statuses.includes(502));
+});
