--- a/packages/entry/src/host/shutdown.ts
+++ b/packages/entry/src/host/shutdown.ts
@@ -64,7 +64,9 @@
 		await sleep(clock, DRAIN_POLL_INTERVAL_MS); // eslint-disable-line no-await-in-loop
 	}
 
-	log.info({event: 'left', running: ingress.running, tookMs: Math.round(clock.monotonic() - startAtMs)});
+	const {running} = ingress;
+	ingress.reset();
+	log.info({event: 'left', running, tookMs: Math.round(clock.monotonic() - startAtMs)});
 }
 
 async function waitForAbort(signal: AbortSignal): Promise<void> {
--- a/packages/entry/src/request/ingress.ts
+++ b/packages/entry/src/request/ingress.ts
@@ -2,6 +2,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {DEFAULT_CALLER_LIMITS, type CallerLimits} from '@apricotwood/steering';
+import {resetSocket} from '../socket.js';
 import type {ReplicatedState} from '../state/replicated-state.js';
 import {MAX_PARSED_HEADER_BYTES, countHeaderBytes} from './headers.js';
 import type {SessionDeps} from './session-deps.js';
@@ -25,7 +26,8 @@
 /** HTTP server for callers: validates each request, matches its route and starts a session for it. */
 export class Ingress {
 	readonly #server: Server;
-	#running = 0;
+	/** Responses that have not been handed over to the network completely. */
+	readonly #inFlight = new Set<ServerResponse>();
 
 	constructor(private readonly state: ReplicatedState, private readonly deps: SessionDeps) {
 		this.#server = createServer({maxHeaderSize: MAX_PARSED_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: 1000}, (req, res) => {
@@ -44,9 +46,9 @@
 		});
 	}
 
-	/** Number of requests in flight. */
+	/** Number of requests in flight, until their responses have been handed over to the network. */
 	get running(): number {
-		return this.#running;
+		return this.#inFlight.size;
 	}
 
 	/** Applies the configured timeouts to the server. */
@@ -74,13 +76,25 @@
 		this.#server.closeAllConnections();
 	}
 
+	/** Resets the connections of the requests in flight, so that a response without a length does not look complete when the process ends. */
+	reset(): void {
+		for (const {socket} of this.#inFlight) {
+			if (socket) {
+				resetSocket(socket);
+			}
+		}
+	}
+
 	/** Handles a request that another host has passed on. */
 	handleForwarded(req: IncomingMessage, res: ServerResponse): void {
 		void this.#handle(req, res, true);
 	}
 
 	async #handle(req: IncomingMessage, res: ServerResponse, isForwarded: boolean): Promise<void> {
-		this.#running++;
+		this.#inFlight.add(res);
+		res.once('close', () => {
+			this.#inFlight.delete(res);
+		});
 		try {
 			if (this.deps.isLeaving()) {
 				res.setHeader('connection', 'close');
@@ -90,8 +104,6 @@
 		} catch (error) {
 			this.deps.log.error({event: 'request-failed', url: req.url, message: (error as Error).stack});
 			sendRejection(res, createUnknownOutcomeRejection(RejectionCode.Unknown, 'this host failed to handle the request'));
-		} finally {
-			this.#running--;
 		}
 	}
 
--- /dev/null
+++ b/test/entry/stopping-responses.test.ts
@@ -0,0 +1,114 @@
+import assert from 'node:assert/strict';
+import {connect, type Socket} from 'node:net';
+import {
+	after, afterEach, before, beforeEach, test,
+} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {FakeStore, createOperatorConfig} from '@apricotwood/platform/standin';
+import {RawWorker} from '../fixtures/raw-worker.js';
+import {TestEntryHost, waitUntil, freePorts} from '../fixtures/test-entry-host.js';
+
+/** Time from the stop signal to the end of a host, ms. */
+const GRACE_MS = 1600;
+/** Size of a response that no buffer on the way holds, bytes. */
+const LONG_BYTES = 40_000_000;
+const store = new FakeStore();
+let respond: (socket: Socket, head: string) => void = () => {};
+const worker = new RawWorker((socket, _request, head) => {
+	respond(socket, head);
+});
+let ports: number[] = [];
+let host: TestEntryHost;
+
+before(async () => {
+	await store.start();
+	store.putConfig(createOperatorConfig(2, ['board'], [['film', 'a.example', '/film/', 'idempotent', null, '600ms', 1, 'board', 1, false, [], null]]));
+	await worker.start();
+	store.putWorker('w1', {
+		addr: worker.address, born: 1, info: {service: 'board', zone: 'a1', version: 'v1', slots: 4}, status: {state: 'ready', sequence: 1, cold_remaining: '0ms'},
+	});
+	ports = await freePorts(5);
+});
+
+after(async () => {
+	await worker.stop();
+	await store.stop();
+});
+
+beforeEach(async () => {
+	host = await new TestEntryHost('127.0.0.77', ports, store.address, {graceMs: GRACE_MS}).start();
+	await waitUntil('the host is ready', () => host.host.isReady && host.host.state.fleet.size === 1);
+});
+
+afterEach(async () => {
+	await host.stop();
+});
+
+function createHead(head: string, lines: string): string {
+	return `HTTP/1.1 200 OK\r\nRequest-Id: ${/request-id: (\S+)/i.exec(head)?.[1]}\r\nServer-Signature: s\r\n${lines}\r\n`;
+}
+
+/** How the connection of a caller ended, and what had arrived. */
+type Received = {readonly bytes: number; readonly wasReset: boolean};
+
+/** Opens a caller's connection and sends a request on it. @param isSlow whether the caller begins to read only when it is told so. */
+function request(id: string, isSlow = false): {readonly socket: Socket; readonly received: Promise<Received>} {
+	const [ip, port] = host.settings.entry.self.callerAddress.split(':');
+	const socket = connect({host: ip!, port: Number(port)});
+	socket.write(`GET /film/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: ${id}\r\nRequest-Deadline-Ms: 9000\r\n\r\n`);
+	let bytes = 0;
+	let wasReset = false;
+	if (isSlow) {
+		socket.pause();
+	}
+
+	socket.on('data', chunk => {
+		bytes += chunk.length;
+	});
+	socket.on('error', () => {
+		wasReset = true;
+	});
+	const received = new Promise<Received>(resolve => {
+		socket.on('close', () => {
+			resolve({bytes, wasReset});
+		});
+	});
+	return {socket, received};
+}
+
+// MIXED (review/2): a response without a length that was under way when its host ended looked complete.
+for (const lines of ['Connection: close\r\n', 'Transfer-Encoding: chunked\r\n', 'Content-Length: 900000\r\n']) {
+	test(`a response that is under way when its host ends is reset, so that it does not look complete: ${lines.trim()}`, async () => {
+		respond = (socket, head) => {
+			socket.write(createHead(head, lines));
+			socket.write(lines.startsWith('Transfer') ? `493e0\r\n${'x'.repeat(300_000)}\r\n` : 'x'.repeat(300_000));
+		};
+
+		const {received} = request('under-way');
+		await delay(200);
+		await host.stop();
+		const {bytes, wasReset} = await Promise.race([received, delay(500, {bytes: 0, wasReset: false})]);
+		assert.ok(bytes > 100_000);
+		assert.equal(wasReset, true);
+	});
+}
+
+// What a slow caller has not read is dropped at the end of the process.
+test('a host that stops waits until its callers have got what is ready for them', async () => {
+	respond = (socket, head) => {
+		socket.write(createHead(head, `Content-Length: ${LONG_BYTES}\r\n`));
+		socket.write('x'.repeat(LONG_BYTES));
+	};
+
+	const {socket, received} = request('slow', true);
+	await delay(200);
+	const stopped = host.stop();
+	await delay(500);
+	socket.resume();
+	await stopped;
+	await waitUntil('the response is read', () => socket.bytesRead > LONG_BYTES);
+	socket.destroy();
+	const {wasReset} = await received;
+	assert.equal(wasReset, false);
+	assert.equal(host.logLines.find(({event}) => event === 'left')?.running, 0);
+});
