--- a/packages/daemon/src/request/attempt-policies.ts
+++ b/packages/daemon/src/request/attempt-policies.ts
@@ -1,5 +1,5 @@
 import {Priority} from '@apricotwood/agreement';
-import {AttemptPolicy} from './delivery.js';
+import {AttemptPolicy} from './attempt-policy.js';
 
 /** Latency quantile, 0 to 1, after which an attempt is hedged, by priority; `undefined` disables hedging. */
 const HEDGE_QUANTILE: Readonly<Record<Priority, number | undefined>> = {
--- a/packages/daemon/src/request/delivery.ts
+++ b/packages/daemon/src/request/delivery.ts
@@ -1,9 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {RepeatPolicy} from '@apricotwood/agreement';
-import {
-	HEDGE_BUDGET, QuantileEstimator, RETRY_BUDGET, AttemptBudget,
-} from '@apricotwood/admission';
 import type {Clock, Timer} from '@apricotwood/clock';
 import type {ResourceClaim} from '@apricotwood/ledger';
 import {Outcome, type StoredResponse} from '@apricotwood/once';
@@ -12,13 +9,16 @@
 } from '../upstream/attempt.js';
 import type {WorkerLink} from '../upstream/worker-link.js';
 import type {Admission, Placement} from './admission.js';
+import type {AttemptPolicy} from './attempt-policy.js';
 import {createResponseHeaders} from './response.js';
+import {ResponseRecorder} from './response-recorder.js';
 import {Cancellation} from './cancellation.js';
 import {
 	RejectionCode, rejectUnknown, rejectNotRun, type Rejection,
 } from './rejection.js';
 import type {RequestContext} from './context.js';
-import {HeaderName, copyRequestHeaders} from './headers.js';
+import {createAttemptHeaders} from './attempt-headers.js';
+import {HeaderName} from './headers.js';
 import {applyWorkerHeaders} from './worker-headers.js';
 
 /** Final result of a request on this host. */
@@ -52,23 +52,6 @@
 	Hedge = 'hedge',
 }
 
-/** Retry and hedge budgets and hedge delay of one service on this host. */
-export class AttemptPolicy {
-	readonly retryBudget = new AttemptBudget(RETRY_BUDGET);
-	readonly hedgeBudget = new AttemptBudget(HEDGE_BUDGET);
-	readonly latency: QuantileEstimator;
-
-	/** @param hedgeQuantile latency quantile, 0 to 1, after which an attempt is hedged; `undefined` disables hedging. */
-	constructor(readonly hedgeQuantile: number | undefined) {
-		this.latency = new QuantileEstimator(hedgeQuantile ?? 0.99);
-	}
-
-	/** Delay before a hedge, ms; `undefined` if hedging is disabled or no latency is known. */
-	get hedgeDelayMs(): number | undefined {
-		return this.hedgeQuantile === undefined ? undefined : this.latency.value();
-	}
-}
-
 /** Delay before the units of a cancelled attempt are released, ms; gives the worker time to see the cancellation. */
 const CANCEL_RELEASE_DELAY_MS = 50;
 /** Number of attempts, hedges included, after which a request is not retried. */
@@ -85,8 +68,7 @@
 export class Delivery implements AttemptListener {
 	readonly #running = new Map<Attempt, RunningAttempt>();
 	readonly #excludedWorkers = new Set<string>();
-	readonly #storedChunks: Buffer[] = [];
-	#responseBytes = 0;
+	readonly #recorder: ResponseRecorder;
 	#requestHeaders: string[] | undefined;
 	#responseHeaders: string[] = [];
 	#responseStatus = 0;
@@ -110,7 +92,9 @@
 		private readonly claims: readonly ResourceClaim[],
 		private readonly body: Buffer | IncomingMessage | undefined,
 		private readonly storesResponse: boolean,
-	) {}
+	) {
+		this.#recorder = new ResponseRecorder(storesResponse ? deps.maxStoredBytes : 0);
+	}
 
 	/** Runs the request, starting at `placement`, until its final result. */
 	async run(placement: Placement): Promise<DeliveryResult> {
@@ -170,7 +154,7 @@
 			return true;
 		}
 
-		this.#storeChunk(chunk);
+		this.#recorder.record(chunk);
 		const {res} = this.ctx;
 		if (res.destroyed || res.write(chunk)) {
 			return true;
@@ -244,28 +228,12 @@
 
 	#createAttemptHeaders(): string[] {
 		const {ctx} = this;
-		this.#requestHeaders ??= this.#createRequestHeaders();
+		this.#requestHeaders ??= createAttemptHeaders(ctx, this.#isBodyStreamed);
 		attemptSequence++;
 		const remainingMs = Math.max(1, Math.round(ctx.deadlineAtMs - this.deps.clock.monotonic()));
 		return [...this.#requestHeaders, HeaderName.DeadlineMs, String(remainingMs), HeaderName.Attempt, this.#currentAttemptId];
 	}
 
-	#createRequestHeaders(): string[] {
-		const {ctx} = this;
-		const headers = copyRequestHeaders(ctx.req);
-		headers.push(HeaderName.Member, ctx.member.name, 'x-forwarded-for', ctx.callerAddress);
-		if (ctx.headers.requestId !== undefined) {
-			headers.push(HeaderName.RequestId, ctx.headers.requestId);
-		}
-
-		const length = ctx.req.headers['content-length'];
-		if (this.#isBodyStreamed && length !== undefined) {
-			headers.push('content-length', length);
-		}
-
-		return headers;
-	}
-
 	#handleFailure(attempt: Attempt, failure: AttemptFailure): void {
 		const running = this.#takeRunning(attempt);
 		if (!running) {
@@ -439,17 +407,6 @@
 		this.deps.admission.admitWaiters();
 	}
 
-	#storeChunk(chunk: Buffer): void {
-		if (!this.storesResponse) {
-			return;
-		}
-
-		this.#responseBytes += chunk.length;
-		if (this.#responseBytes <= this.deps.maxStoredBytes) {
-			this.#storedChunks.push(chunk);
-		}
-	}
-
 	#getOutcome(): Outcome {
 		return this.#mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
 	}
@@ -471,11 +428,10 @@
 		this.#isFinished = true;
 		this.#cancellation.cancel();
 		this.#timer?.cancel();
-		const isStorable = outcome === Outcome.Answered && this.storesResponse && this.#responseBytes <= this.deps.maxStoredBytes;
 		this.#resolve({
 			outcome,
 			rejection,
-			storedResponse: isStorable ? {status: this.#responseStatus, headers: this.#responseHeaders, body: Buffer.concat(this.#storedChunks)} : undefined,
+			storedResponse: outcome === Outcome.Answered && this.storesResponse ? this.#recorder.createResponse(this.#responseStatus, this.#responseHeaders) : undefined,
 			worker: this.#winnerLink?.worker.name,
 			attempts: this.#attempts,
 			hedges: this.#hedges,
--- /dev/null
+++ b/packages/daemon/src/request/response-recorder.ts
@@ -0,0 +1,23 @@
+import {Buffer} from 'node:buffer';
+import type {StoredResponse} from '@apricotwood/once';
+
+/** Keeps the body of a response for repeats of its request, up to a size. */
+export class ResponseRecorder {
+	readonly #chunks: Buffer[] = [];
+	#bytes = 0;
+
+	/** @param maxBytes size above which a body is not kept. */
+	constructor(private readonly maxBytes: number) {}
+
+	record(chunk: Buffer): void {
+		this.#bytes += chunk.length;
+		if (this.#bytes <= this.maxBytes) {
+			this.#chunks.push(chunk);
+		}
+	}
+
+	/** Creates the stored response; `undefined` if its body was too long. @param headers alternating names and values. */
+	createResponse(status: number, headers: string[]): StoredResponse | undefined {
+		return this.#bytes <= this.maxBytes ? {status, headers, body: Buffer.concat(this.#chunks)} : undefined;
+	}
+}
