--- a/packages/daemon/src/request/delivery.ts
+++ b/packages/daemon/src/request/delivery.ts
@@ -11,6 +11,7 @@
 import type {Admission, Placement} from './admission.js';
 import type {AttemptPolicy} from './attempt-policy.js';
 import {createResponseHeaders} from './response.js';
+import {RunningAttempts, type RunningAttempt} from './running-attempts.js';
 import {ResponseRecorder} from './response-recorder.js';
 import {Cancellation} from './cancellation.js';
 import {
@@ -52,21 +53,14 @@
 	Hedge = 'hedge',
 }
 
-/** Delay before the units of a cancelled attempt are released, ms; gives the worker time to see the cancellation. */
-const CANCEL_RELEASE_DELAY_MS = 50;
 /** Number of attempts, hedges included, after which a request is not retried. */
 const MAX_ATTEMPTS = 3;
 
-type RunningAttempt = {
-	readonly placement: Placement;
-	readonly startedMs: number;
-};
-
 let attemptSequence = 0;
 
 /** Sends one request to a worker and relays the response, with retries and hedges. */
 export class Delivery implements AttemptListener {
-	readonly #running = new Map<Attempt, RunningAttempt>();
+	readonly #running: RunningAttempts;
 	readonly #excludedWorkers = new Set<string>();
 	readonly #recorder: ResponseRecorder;
 	#requestHeaders: string[] | undefined;
@@ -93,6 +87,7 @@
 		private readonly body: Buffer | IncomingMessage | undefined,
 		private readonly storesResponse: boolean,
 	) {
+		this.#running = new RunningAttempts(deps);
 		this.#recorder = new ResponseRecorder(storesResponse ? deps.maxStoredBytes : 0);
 	}
 
@@ -167,7 +162,7 @@
 	}
 
 	onEnd(attempt: Attempt): void {
-		const running = this.#takeRunning(attempt);
+		const running = this.#running.take(attempt);
 		if (!running) {
 			return;
 		}
@@ -175,7 +170,7 @@
 		const latencyMs = this.deps.clock.monotonic() - running.startedMs;
 		running.placement.link.recordResponse(latencyMs);
 		this.attemptPolicy.latency.record(latencyMs);
-		this.#release(running);
+		this.#running.release(running);
 		this.ctx.res.end();
 		this.#finish(Outcome.Answered, undefined);
 	}
@@ -191,9 +186,9 @@
 	#acceptResponse(attempt: Attempt, {placement}: RunningAttempt, head: ResponseHead): void {
 		this.#winner = attempt;
 		this.#winnerLink = placement.link;
-		for (const other of this.#running.keys()) {
+		for (const other of this.#running.list()) {
 			if (other !== attempt) {
-				this.#cancel(other);
+				this.#running.cancel(other);
 			}
 		}
 
@@ -215,7 +210,7 @@
 			attemptId: this.#currentAttemptId,
 			isPeer: false,
 		}, this);
-		this.#running.set(attempt, {placement, startedMs: this.deps.clock.monotonic()});
+		this.#running.add(attempt, placement);
 		this.#attempts++;
 		this.#isBodyConsumed ||= this.#isBodyStreamed;
 		placement.link.begin();
@@ -235,14 +230,14 @@
 	}
 
 	#handleFailure(attempt: Attempt, failure: AttemptFailure): void {
-		const running = this.#takeRunning(attempt);
+		const running = this.#running.take(attempt);
 		if (!running) {
 			return;
 		}
 
 		const {link} = running.placement;
 		this.#excludedWorkers.add(link.worker.name);
-		this.#release(running);
+		this.#running.release(running);
 		if (failure.code === RejectionCode.UpstreamUnreachable || failure.code === RejectionCode.UpstreamReset) {
 			link.recordFailure();
 		}
@@ -348,8 +343,7 @@
 			return;
 		}
 
-		const [running] = this.#running.values();
-		const excluded = new Set([...this.#excludedWorkers, running?.placement.link.worker.name ?? '']);
+		const excluded = new Set([...this.#excludedWorkers, ...this.#running.listWorkers()]);
 		const result = this.deps.admission.place(this.ctx.service.name, this.claims, excluded);
 		if (!result.ok) {
 			return;
@@ -362,9 +356,9 @@
 
 	/** Cancels all running attempts and finishes the request. */
 	#abort(code: RejectionCode, message: string): void {
-		for (const attempt of this.#running.keys()) {
+		for (const attempt of this.#running.list()) {
 			this.#mayHaveRun ||= attempt.wasSent;
-			this.#cancel(attempt);
+			this.#running.cancel(attempt);
 		}
 
 		const hasResponseStarted = this.ctx.res.headersSent;
@@ -377,36 +371,6 @@
 		this.#finish(outcome, outcome === Outcome.NotRun ? rejectNotRun(code, status, message) : rejectUnknown(code, status, message));
 	}
 
-	#cancel(attempt: Attempt): void {
-		const running = this.#running.get(attempt);
-		this.#running.delete(attempt);
-		attempt.cancel();
-		if (!running) {
-			return;
-		}
-
-		if (!attempt.wasSent) {
-			this.#release(running);
-			return;
-		}
-
-		this.deps.clock.after(CANCEL_RELEASE_DELAY_MS, () => {
-			this.#release(running);
-		});
-	}
-
-	#takeRunning(attempt: Attempt): RunningAttempt | undefined {
-		const running = this.#running.get(attempt);
-		this.#running.delete(attempt);
-		return running;
-	}
-
-	#release({placement}: RunningAttempt): void {
-		placement.units.release();
-		placement.link.end();
-		this.deps.admission.admitWaiters();
-	}
-
 	#getOutcome(): Outcome {
 		return this.#mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
 	}
