--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -84,7 +84,7 @@
 	readonly #waiting = new WaitingRequests<() => void>(MAX_WAITING_REQUESTS);
 	readonly #running = new Set<RunningAttempt>();
 	readonly #attemptDurations = new AttemptDurations();
-	readonly #shutdownDeadline = new ShutdownDeadline(this.#attemptDurations);
+	readonly #shutdownDeadline = new ShutdownDeadline(this.#attemptDurations, this.#running);
 	readonly #waitingRetrier: WaitingRetrier;
 
 	constructor(private readonly deps: EntryDeps) {
--- a/packages/entry/src/request/session-deps.ts
+++ b/packages/entry/src/request/session-deps.ts
@@ -1,6 +1,6 @@
 import type {Clock, Random} from '@apricotwood/clock';
 import type {
-	AttemptDurations, RoundTripTimes, LoadTracker, Placer, ReachabilityTracker, ReportInterval, RetryBudget, TrafficSplitter, ServiceTimeEstimator, WaitingRequests, ObjectCacheModel, WorkerAvailability, WorkerHealthTracker,
+	AttemptDurations, RoundTripTimes, LoadTracker, Placer, ReachabilityTracker, ReportInterval, StartedAttempt, RetryBudget, TrafficSplitter, ServiceTimeEstimator, WaitingRequests, ObjectCacheModel, WorkerAvailability, WorkerHealthTracker,
 } from '@apricotwood/steering';
 import type {Log, Metrics} from '@apricotwood/telemetry';
 import type {Dialect} from '../dialect.js';
@@ -12,11 +12,9 @@
 import type {RetryDetector} from './retry-detector.js';
 
 /** An attempt that is waiting for a response. */
-export type RunningAttempt = {
+export type RunningAttempt = StartedAttempt & {
 	/** Hash of the worker's id. */
 	readonly worker: number;
-	/** Start of the attempt, monotonic ms. */
-	readonly startAtMs: number;
 	/** Expected duration of the attempt, ms. */
 	readonly expectedMs: number;
 };
--- a/packages/experiment/src/host.ts
+++ b/packages/experiment/src/host.ts
@@ -90,7 +90,7 @@
 			}),
 			warmupLimiter: new WarmupLimiter(hashText(zone)),
 			rateLimiter,
-			shutdownDeadline: new ShutdownDeadline(new AttemptDurations()),
+			shutdownDeadline: new ShutdownDeadline(new AttemptDurations(), []),
 			roundTrips: this.#distances,
 			countHosts: () => 1,
 			warmupPerSecond: () => undefined,
--- a/packages/steering/src/attempt-durations.ts
+++ b/packages/steering/src/attempt-durations.ts
@@ -5,7 +5,7 @@
 /** Number of durations from which the longest one is taken for that of the route. */
 const MIN_SAMPLES = 8;
 /** The longest of the kept durations is raised by this factor, as the next request may take longer. */
-const SAFETY_FACTOR = 1.25;
+const SAFETY_FACTOR = 1.5;
 /** The same while few durations are known: a request takes about three times as long at a worker that has not cached its object. */
 const FEW_SAMPLES_FACTOR = 4;
 
@@ -25,10 +25,14 @@
 		this.#samplesByKey.set(key, samples);
 	}
 
-	/** Time within which nearly all requests of a route get their response, ms; `undefined` if none was seen. */
-	estimateLongest(route: Route, service: string): number | undefined {
-		const samples = this.#samplesByKey.get(createKey(route, service));
-		return samples && Math.max(...samples) * (samples.length < MIN_SAMPLES ? FEW_SAMPLES_FACTOR : SAFETY_FACTOR);
+	/**
+	 * Time within which nearly all requests of a route get their response, ms; `undefined` if none was seen.
+	 * @param runningMs time for which the longest attempt in progress has run, ms; 0 if there is none.
+	 */
+	estimateLongest(route: Route, service: string, runningMs: number): number | undefined {
+		const samples = this.#samplesByKey.get(createKey(route, service)) ?? [];
+		const longestMs = Math.max(runningMs, ...samples);
+		return samples.length === 0 ? undefined : longestMs * (samples.length < MIN_SAMPLES ? FEW_SAMPLES_FACTOR : SAFETY_FACTOR);
 	}
 }
 
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -25,7 +25,7 @@
 export {ReachabilityTracker} from './reachability.js';
 export {RetryBudget, type RetryBudgetOptions} from './retry-budget.js';
 export {ServiceTimeEstimator, type ExpectedTimes} from './service-times.js';
-export {ShutdownDeadline, type TimedRequest} from './shutdown-deadline.js';
+export {ShutdownDeadline, type StartedAttempt, type TimedRequest} from './shutdown-deadline.js';
 export {
 	SendPurpose, Unavailability, WorkerAvailability, type Obstacle, type WorkerAvailabilityDeps,
 } from './worker-availability.js';
--- a/packages/steering/src/shutdown-deadline.ts
+++ b/packages/steering/src/shutdown-deadline.ts
@@ -9,6 +9,14 @@
 	readonly deadlineAtMs: number;
 };
 
+/** An attempt at a worker that is in progress. */
+export type StartedAttempt = {
+	readonly route: Route;
+	readonly service: string;
+	/** Monotonic ms. */
+	readonly startAtMs: number;
+};
+
 /** Time after its deadline by which a request has ended in any case, ms. */
 const RESPONSE_GRACE_MS = 200;
 
@@ -20,7 +28,8 @@
 export class ShutdownDeadline {
 	#endAtMs = Number.POSITIVE_INFINITY;
 
-	constructor(private readonly durations: AttemptDurations) {}
+	/** @param running attempts of this host that are in progress. */
+	constructor(private readonly durations: AttemptDurations, private readonly running: Iterable<StartedAttempt>) {}
 
 	/** Sets the time at which the host ends, monotonic ms. */
 	set(endAtMs: number): void {
@@ -29,14 +38,27 @@
 
 	/**
 	 * Whether a request that is started now has its response before the host ends. Its
-	 * deadline decides, or how long requests of its route take where that is known.
+	 * deadline decides, or how long requests of its route take where
+	 * that is known, those in progress included.
 	 */
 	allows({route, service, deadlineAtMs}: TimedRequest, nowMs: number): boolean {
 		if (deadlineAtMs + RESPONSE_GRACE_MS <= this.#endAtMs) {
 			return true;
 		}
 
-		const longestMs = this.durations.estimateLongest(route, service);
+		const longestMs = this.durations.estimateLongest(route, service, this.#getLongestRunningMs(route, service, nowMs));
 		return longestMs !== undefined && nowMs + longestMs <= this.#endAtMs;
 	}
+
+	/** Time for which the longest attempt of a route that is in progress has run, ms; 0 if there is none. */
+	#getLongestRunningMs(route: Route, service: string, nowMs: number): number {
+		let longestMs = 0;
+		for (const attempt of this.running) {
+			if (attempt.route.name === route.name && attempt.service === service) {
+				longestMs = Math.max(longestMs, nowMs - attempt.startAtMs);
+			}
+		}
+
+		return longestMs;
+	}
 }
