--- a/packages/entry/src/upstream/health-checker.ts
+++ b/packages/entry/src/upstream/health-checker.ts
@@ -83,9 +83,10 @@
 	async #probe(worker: Worker, path: string, signal: AbortSignal): Promise<{hasPassed: boolean; coldMs: number; message?: string}> {
 		const {clock, dialect, workerFeedback} = this.deps;
 		const {registration: entry} = worker;
-		const connection = new Connection(entry.address, this.deps.connector);
 		const sentAtMs = clock.monotonic();
+		let connection: Connection | undefined;
 		try {
+			connection = new Connection(entry.address, this.deps.connector);
 			const res = await connection.client.request({
 				method: 'GET', path, signal: AbortSignal.any([signal, AbortSignal.timeout(CHECK_TIMEOUT_MS)]),
 			});
@@ -97,7 +98,7 @@
 		} catch (error) {
 			return {hasPassed: false, coldMs: 0, message: (error as Error).message};
 		} finally {
-			connection.close();
+			connection?.close();
 		}
 	}
 }
