--- a/packages/soak/src/breakages.ts
+++ b/packages/soak/src/breakages.ts
@@ -81,6 +81,18 @@
 		to: 'return [];',
 		promise: 'isolated',
 	},
+	'reuses-connections': {
+		file: 'packages/entry/src/upstream/connection.ts',
+		from: 'return this.#requestCount === 0 || (requestId !== undefined && !this.#requestIds.has(hashText(requestId)));',
+		to: 'return true;',
+		promise: 'refused',
+	},
+	'starts-late': {
+		file: 'packages/steering/src/shutdown-deadline.ts',
+		from: 'if (deadlineAtMs + RESPONSE_GRACE_MS <= this.#endAtMs) {',
+		to: 'if (deadlineAtMs > 0) {',
+		promise: 'stop',
+	},
 	'leaves-at-once': {
 		file: 'packages/entry/src/host/shutdown.ts',
 		from: 'await sleep(clock, closeAfterMs);',
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -1,16 +1,10 @@
-import {createHash} from 'node:crypto';
-import {
-	Agent, request, type AgentOptions, type ClientRequest, type IncomingMessage,
-} from 'node:http';
-import type {Socket} from 'node:net';
+import {Agent, type AgentOptions} from 'node:http';
 import {setTimeout as pause} from 'node:timers/promises';
 import type {Random} from '@apricotwood/clock';
-import {wasResetAtEnd} from '@apricotwood/entry';
-import {
-	createResponseBody, createCallerHeaders, fetchHostAddresses, readSignature,
-} from '@apricotwood/platform/standin';
+import {fetchHostAddresses} from '@apricotwood/platform/standin';
+import {createCall, sendCall} from './call-sender.js';
 import {CALL_TIMEOUT_MS} from './promises.js';
-import {CallEnd, CallKind, type Call} from './records.js';
+import {CallKind, type Call} from './records.js';
 import {REGIONS, type SoakEnvironment} from './environment.js';
 
 /** Number of concurrent callers. */
@@ -29,10 +23,6 @@
 const NEW_ROUTE_RATIO = 0.08;
 /** Ratio of the reads that are a request which crashes workers, while there is one. */
 const CRASHING_RATIO = 0.03;
-/** Number of characters of each response body that are kept in the records. */
-const KEPT_ANSWER_CHARS = 200;
-/** A call without a response for this much longer than its timeout counts as hung, ms. */
-const HUNG_MARGIN_MS = 2500;
 
 /** Concurrent callers that send calls and record the results. Each uses one connection until it ends, then looks up a host address in the directory of a random host. */
 export class Callers {
@@ -89,7 +79,9 @@
 		while (!this.#stop.signal.aborted) {
 			const call = this.#createCall(host.options.id);
 			this.environment.records.calls.push(call);
-			const isReusable = await this.#send(call, link.address, agent); // eslint-disable-line no-await-in-loop
+			const givesUp = this.random.next() < GIVE_UP_RATIO;
+			const options = {timeoutMs: CALL_TIMEOUT_MS, givesUpAfterMs: givesUp ? 10 + (50 * this.random.next()) : undefined};
+			const isReusable = await sendCall(call, link.address, agent, options); // eslint-disable-line no-await-in-loop
 			await pause(MEAN_PAUSE_MS * 2 * this.random.next()); // eslint-disable-line no-await-in-loop
 			if (!isReusable) {
 				break;
@@ -107,93 +99,12 @@
 		const addedRoutes = environment.records.notices.filter(({what}) => what === 'route-added');
 		const prefix = kind === CallKind.Read && addedRoutes.length > 0 && random.next() < NEW_ROUTE_RATIO ? pick(addedRoutes).subject : `/${kind}/`;
 		const bytes = kind === CallKind.Read ? 0 : pick(BODY_BYTES);
-		return {
+		return createCall({
 			id: `c${++this.#lastId}`,
 			kind,
 			host,
-			method: kind === CallKind.Read ? 'GET' : 'POST',
 			url: kind === CallKind.Read && crashing && random.next() < CRASHING_RATIO ? crashing.url : `${prefix}o${Math.floor(random.next() * OBJECT_COUNT)}?filler=${pick(FILLER_CHARS)}`,
 			bytes,
-			digest: createHash('md5').update(createBody(bytes)).digest('hex'),
-			sentAtMs: Date.now(),
-			end: CallEnd.Hung,
-			endAtMs: 0,
-			status: 0,
-			signature: undefined,
-			isExpected: false,
-			answer: '',
-		};
-	}
-
-	/** Sends a call and waits for its end. @returns whether the connection can be reused. */
-	async #send(call: Call, address: string, agent: Agent): Promise<boolean> {
-		const [ip, port] = address.split(':');
-		const givesUp = this.random.next() < GIVE_UP_RATIO;
-		const timeoutMs = givesUp ? 10 + (50 * this.random.next()) : CALL_TIMEOUT_MS + HUNG_MARGIN_MS;
-		return new Promise(resolve => {
-			const req = request({
-				host: ip, port, path: call.url, method: call.method, agent, headers: {
-					...createCallerHeaders(call.id, CALL_TIMEOUT_MS, call.url.split('?')[0]!), 'content-length': call.bytes,
-				},
-			});
-			const finish = (end: CallEnd, isReusable: boolean) => {
-				if (call.endAtMs === 0) {
-					call.end = end;
-					call.endAtMs = Date.now();
-					clearTimeout(timer);
-					resolve(isReusable);
-				}
-			};
-
-			const timer = setTimeout(() => {
-				finish(givesUp ? CallEnd.GaveUp : CallEnd.Hung, false);
-				req.destroy();
-			}, timeoutMs);
-			this.#observeResponse(req, call, finish);
-			req.end(createBody(call.bytes));
 		});
 	}
-
-	#observeResponse(req: ClientRequest, call: Call, finish: (end: CallEnd, isReusable: boolean) => void): void {
-		let socket: Socket | undefined;
-		let wasReset = Promise.resolve(false);
-		req.on('socket', assigned => {
-			socket = assigned;
-			const onEnd = () => {
-				wasReset = wasResetAtEnd(assigned);
-			};
-
-			// Before the client's own listener, which ends the connection.
-			assigned.prependOnceListener('end', onEnd);
-			req.once('close', () => {
-				assigned.off('end', onEnd);
-			});
-		});
-		req.on('response', (res: IncomingMessage) => {
-			call.status = res.statusCode ?? 0;
-			call.signature = readSignature(res.headers);
-			let body = '';
-			res.on('data', chunk => {
-				body += String(chunk);
-			});
-			res.on('error', () => {
-				finish(CallEnd.Cut, false);
-			});
-			res.on('close', () => {
-				call.isExpected = body === createResponseBody(call.method, call.url, call.bytes);
-				call.answer = body.slice(0, KEPT_ANSWER_CHARS);
-				void wasReset.then(isReset => {
-					const isComplete = res.complete && !isReset;
-					finish(isComplete ? CallEnd.Answered : CallEnd.Cut, isComplete && res.headers.connection !== 'close');
-				});
-			});
-		});
-		req.on('error', () => {
-			finish(socket?.connecting === false || req.reusedSocket || (socket?.bytesWritten ?? 0) > 0 ? CallEnd.NoAnswer : CallEnd.NoConnection, false);
-		});
-	}
-}
-
-function createBody(bytes: number): string {
-	return 'b'.repeat(bytes);
 }
--- a/packages/soak/src/environment.ts
+++ b/packages/soak/src/environment.ts
@@ -32,6 +32,8 @@
 export const REGIONS: Readonly<Record<string, string>> = {a1: 'a', a2: 'a', b1: 'b'};
 const SERVICES = ['board', 'desk'] as const;
 const WORKERS_PER_SERVICE = 4;
+/** Route of `CallKind.Long`, in the order of `createOperatorConfig`; it has no timeout. */
+const LONG_ROUTE = ['long', 'a.example', '/long/', 'upload', null, '600ms', 1, SERVICES[0], 2, true, [], null] as const; // eslint-disable-line unicorn/no-null
 /** Time limit for all hosts to become ready after the start, ms. */
 const START_TIMEOUT_MS = 30_000;
 /** Time limit for all hosts to become ready after the last fault, ms. */
@@ -64,7 +66,7 @@
 	/** Ends the record of each host that runs the earlier build. */
 	readonly #endsOfOldBuilds = new Map<string, () => void>();
 	#configVersion = 1;
-	readonly #extraRoutes: Array<readonly unknown[]> = [];
+	readonly #extraRoutes: Array<readonly unknown[]> = [LONG_ROUTE];
 
 	constructor(private readonly options: EnvironmentOptions) {}
 
@@ -99,7 +101,7 @@
 
 	/** Adds a route to the configuration. @returns its path prefix. */
 	addRoute(): string {
-		const name = `new${this.#extraRoutes.length}`;
+		const name = `new${this.#extraRoutes.length - 1}`;
 		this.#extraRoutes.push(createIdempotentRoute(name, 'desk'));
 		this.#writeConfig();
 		return `/${name}/`;
--- a/packages/soak/src/fault-injection.ts
+++ b/packages/soak/src/fault-injection.ts
@@ -1,6 +1,8 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {FakeStoreMode, WorkerFault} from '@apricotwood/platform/standin';
 import type {HostProcess} from './host.js';
+import {LongCallers} from './long-calls.js';
+import {ODD_WRITERS} from './odd-entries.js';
 import {FaultKind, type Fault} from './plan.js';
 import {STORE_SUBJECT} from './promises.js';
 import {LinkState, type Link} from './proxy.js';
@@ -42,6 +44,7 @@
 		host.start();
 	}),
 	[FaultKind.HostStop]: async (environment, fault) => disturbHost(environment, fault, async host => environment.restartHost(host)),
+	[FaultKind.HostStopLongCalls]: stopDuringLongCalls,
 	[FaultKind.HostPause]: async (environment, fault) => disturbHost(environment, fault, async host => {
 		host.sendSignal('SIGSTOP');
 		await pause(fault.forMs);
@@ -74,6 +77,9 @@
 	}),
 	[FaultKind.WorkerFails]: async (environment, fault) => failWorker(environment, fault, pick(WORKER_FAULTS, fault.how)),
 	[FaultKind.WorkerEndless]: async (environment, fault) => failWorker(environment, fault, pick(ENDLESS_FAULTS, fault.how)),
+	[FaultKind.WorkerRepeats]: async (environment, fault) => failWorker(environment, fault, WorkerFault.LateRejection),
+	[FaultKind.WorkerCutsHeads]: async (environment, fault) => failWorker(environment, fault, WorkerFault.CutHead),
+	[FaultKind.OddEntry]: leaveOddEntry,
 	[FaultKind.WorkerLimit]: limitWorker,
 	[FaultKind.WorkerLeaving]: leaveByResponse,
 	[FaultKind.WorkerBackoff]: rejectWithBackoff,
@@ -179,6 +185,24 @@
 	}
 }
 
+/** Stops a host while callers send it uploads that take seconds. */
+async function stopDuringLongCalls(environment: SoakEnvironment, fault: Fault): Promise<void> {
+	const host = selectHost(environment, fault);
+	await withDisturbance(environment, {...fault, kind: FaultKind.HostStop}, host.options.id, async () => {
+		const callers = new LongCallers(environment, host);
+		await callers.open();
+		await Promise.all([callers.send(fault.how), environment.restartHost(host)]);
+	});
+}
+
+/** Writes an entry that cannot be used among those of the workers or hosts; that of a worker is removed after the duration of the fault. */
+async function leaveOddEntry({store}: SoakEnvironment, fault: Fault): Promise<void> {
+	const id = `odd-${fault.atMs}`;
+	pick(ODD_WRITERS, fault.how)(store, id, 'board');
+	await pause(fault.forMs);
+	store.deleteWorker(id);
+}
+
 /** Makes a worker of another service respond at the worker's address for the duration of the fault. */
 async function reuseAddress(environment: SoakEnvironment, fault: Fault): Promise<void> {
 	const endpoint = selectEndpoint(environment, fault);
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -30,6 +30,14 @@
 	WorkerFails = 'worker-fails',
 	/** The worker sends bytes that are no response without end. */
 	WorkerEndless = 'worker-endless',
+	/** The worker rejects each request once, and writes the rejection once more before a later response on the connection. */
+	WorkerRepeats = 'worker-repeats',
+	/** The worker closes connections in the middle of the head of a response. */
+	WorkerCutsHeads = 'worker-cuts-heads',
+	/** Another writer leaves an entry that cannot be used among those of the workers or hosts. */
+	OddEntry = 'odd-entry',
+	/** SIGTERM while callers send uploads that take seconds; the host is restarted once it has exited. */
+	HostStopLongCalls = 'host-stop-long-calls',
 	/** The worker is registered as draining. */
 	WorkerDrain = 'worker-drain',
 	/** The worker's entry is removed from the store. */
@@ -66,7 +74,7 @@
 };
 
 /** Groups of kinds that were added later. Each is drawn after all before it, so that a seed still gives the faults that it gave before. */
-const LATER_KINDS = [[FaultKind.StoreRestore, FaultKind.WorkerEndless], [FaultKind.WorkerLimit], [FaultKind.CrashingRequest], [FaultKind.HostIsolated], [FaultKind.WorkerLeaving, FaultKind.WorkerBackoff]];
+const LATER_KINDS = [[FaultKind.StoreRestore, FaultKind.WorkerEndless], [FaultKind.WorkerLimit], [FaultKind.CrashingRequest], [FaultKind.HostIsolated], [FaultKind.WorkerLeaving, FaultKind.WorkerBackoff], [FaultKind.WorkerRepeats, FaultKind.WorkerCutsHeads, FaultKind.OddEntry, FaultKind.HostStopLongCalls]];
 /** Kinds to choose from; a repeated kind is chosen more often. Worker faults have the highest weight because they have the most variants. */
 const WEIGHTED_KINDS = [...Object.values(FaultKind).filter(kind => !LATER_KINDS.flat().includes(kind)), FaultKind.WorkerFails, FaultKind.WorkerFails, FaultKind.WorkerDrain, FaultKind.WorkerGone, FaultKind.ConfigChange];
 /** Mean time between the starts of consecutive faults, ms. */
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -19,7 +19,9 @@
 const DEPARTURE_LIMIT_MS = 500;
 /** Timeout that callers announce in each call, ms. */
 export const CALL_TIMEOUT_MS = 1400;
-/** A response that takes this much longer than `CALL_TIMEOUT_MS` is late, ms. */
+/** Timeout that callers announce in calls of the kind `CallKind.Long`, ms. */
+export const LONG_CALL_TIMEOUT_MS = 5000;
+/** A response that takes this much longer than the timeout is late, ms. */
 const RESPONSE_MARGIN_MS = 700;
 /** Minimum number of calls after recovery for a valid result. */
 const MIN_CALM_CALLS = 20;
@@ -175,7 +177,7 @@
 
 /** Each call gets a response in time. */
 function checkLate(records: SoakRecords): Violation[] {
-	return records.calls.filter(({end, sentAtMs, endAtMs, host}) => (end === CallEnd.Hung || (end === CallEnd.Answered && endAtMs - sentAtMs > CALL_TIMEOUT_MS + RESPONSE_MARGIN_MS))
+	return records.calls.filter(({kind, end, sentAtMs, endAtMs, host}) => (end === CallEnd.Hung || (end === CallEnd.Answered && endAtMs - sentAtMs > getTimeoutMs(kind) + RESPONSE_MARGIN_MS))
 		&& isUndisturbed(records, sentAtMs, endAtMs, [host]))
 		.map(({id, sentAtMs, endAtMs, host}) => ({promise: 'late', subject: id, message: `call to ${host} took ${endAtMs - sentAtMs} ms`}));
 }
@@ -189,6 +191,11 @@
 		: [];
 }
 
+/** Timeout that callers announce in calls of a kind, ms. */
+function getTimeoutMs(kind: CallKind): number {
+	return kind === CallKind.Long ? LONG_CALL_TIMEOUT_MS : CALL_TIMEOUT_MS;
+}
+
 function getPathPrefix(url: string): string {
 	return `/${url.split('/')[1]}/`;
 }
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -10,6 +10,8 @@
 	Book = 'book',
 	/** Upload. */
 	Load = 'load',
+	/** Upload on a route without a timeout, which takes seconds. */
+	Long = 'long',
 }
 
 /** How a call ended from the caller's point of view. */
