--- /dev/null
+++ b/test/adapter/odd-rows.test.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict';
+import {validateHeaderValue} from 'node:http';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {Connection, hostEntrySchema} from '@apricotwood/entry';
+import {FindingsError} from '@apricotwood/findings';
+import {decodeConfig, decodeWorker} from '@apricotwood/platform';
+import {createOperatorConfig} from '@apricotwood/platform/standin';
+import type {SteeringConfig, WorkerRegistration} from '@apricotwood/steering';
+
+/** Values that another writer may leave in a field. */
+const oddValue = fc.oneof(
+	fc.jsonValue(),
+	fc.double(),
+	fc.maxSafeInteger(),
+	fc.string({unit: 'binary'}),
+	fc.constantFrom('127.0.0.1:99999', '127.0.0.1:0', '999.1.1.1:80', '1.2.3:4', '10.0.0.1:080', `${'9'.repeat(400)}s`, '1e9s', '-1ms', 'x'.repeat(60_000), 1e15, 1e300, -1, 1.5, 0),
+);
+
+/** Replaces one field of a record or list, at any depth, with an odd value. */
+function replaceField(value: unknown, odd: unknown, choose: (count: number) => number): unknown {
+	if (typeof value !== 'object' || value === null || choose(4) === 0) {
+		return odd;
+	}
+
+	const entries = Object.entries(value);
+	if (entries.length === 0) {
+		return odd;
+	}
+
+	const [key, inner] = entries[choose(entries.length)]!;
+	const copy: unknown = structuredClone(value);
+	(copy as Record<string, unknown>)[key] = replaceField(inner, odd, choose);
+	return copy;
+}
+
+/** A value with one odd field. */
+function withOddField(value: unknown): fc.Arbitrary<unknown> {
+	return fc.tuple(oddValue, fc.array(fc.nat(), {minLength: 20, maxLength: 20})).map(parts => {
+		const [odd, numbers] = parts as [unknown, number[]];
+		let next = 0;
+		return replaceField(value, odd, count => numbers[next++ % numbers.length]! % count);
+	});
+}
+
+/** @returns `undefined` if the value is refused. @throws any error but `FindingsError`. */
+function decode<T>(run: () => T): T | undefined {
+	try {
+		return run();
+	} catch (error) {
+		if (error instanceof FindingsError) {
+			return undefined;
+		}
+
+		throw error;
+	}
+}
+
+const WORKER_ENTRY = {
+	addr: '10.0.0.1:80', born: 5, info: {service: 'board', zone: 'a1', version: 'v1', slots: 6}, status: {state: 'ready', sequence: 1, cold_remaining: '1.5s'},
+};
+
+function assertUsable({id, address, slots, coldMs, bornMs, sequence}: WorkerRegistration): void {
+	validateHeaderValue('target', id);
+	new Connection(address).close();
+	assert.ok(Number.isSafeInteger(slots) && slots >= 1 && slots <= 100_000);
+	for (const number of [coldMs, bornMs, sequence]) {
+		assert.ok(Number.isFinite(number) && number >= 0);
+	}
+}
+
+// LOST (report of another operator): whatever an entry holds, it either names a worker that can be used or is refused.
+test('worker: a generated odd entry is usable or refused, without another exception', () => {
+	fc.assert(fc.property(fc.oneof({weight: 4, arbitrary: fc.constant('w')}, {weight: 1, arbitrary: fc.string({unit: 'binary'})}), withOddField(WORKER_ENTRY), (id, entry) => {
+		const worker = decode(() => decodeWorker(id, entry));
+		if (worker) {
+			assertUsable(worker);
+		}
+	}), {numRuns: 2000});
+});
+
+test('host: a generated odd entry is usable or refused', () => {
+	const valid = {
+		id: 'h', ip: '10.0.0.1', peerPort: 7620, callerAddress: '10.0.0.1:80', zone: 'a1', region: 'a', startedMs: 1,
+	};
+	fc.assert(fc.property(withOddField(valid), entry => {
+		const host = hostEntrySchema.safeParse(entry).data;
+		if (host) {
+			new Connection(`${host.ip}:${host.peerPort}`).close();
+			new Connection(host.callerAddress).close();
+			validateHeaderValue('host', host.id);
+		}
+	}), {numRuns: 2000});
+});
+
+function assertFinite({routes, services, limits}: SteeringConfig): void {
+	for (const {timeoutMs, targetMs, maxAttempts, shares, priority} of routes) {
+		const numbers = [timeoutMs, targetMs, maxAttempts, priority, ...shares.map(({weight}) => weight)];
+		assert.ok(numbers.every(number => Number.isFinite(number)));
+	}
+
+	for (const {maxConnections, warmupMs, warmupPerSecond = 0} of services) {
+		assert.ok([maxConnections, warmupMs, warmupPerSecond].every(number => Number.isFinite(number)));
+	}
+
+	assert.ok(Object.values(limits).every(limit => Number.isFinite(limit)));
+}
+
+test('config: a generated odd configuration is finite or refused, without another exception', () => {
+	fc.assert(fc.property(withOddField(createOperatorConfig(12, ['board'])), value => {
+		const config = decode(() => decodeConfig(value));
+		if (config) {
+			assertFinite(config);
+		}
+	}), {numRuns: 2000});
+});
