--- a/test/adapter/odd-rows.test.ts
+++ b/test/adapter/odd-rows.test.ts
@@ -23,7 +23,7 @@
 		return odd;
 	}
 
-	const entries = Object.entries(value);
+	const entries = Object.entries(value as Record<string, unknown>);
 	if (entries.length === 0) {
 		return odd;
 	}
@@ -36,8 +36,7 @@
 
 /** A value with one odd field. */
 function withOddField(value: unknown): fc.Arbitrary<unknown> {
-	return fc.tuple(oddValue, fc.array(fc.nat(), {minLength: 20, maxLength: 20})).map(parts => {
-		const [odd, numbers] = parts as [unknown, number[]];
+	return fc.record({odd: oddValue, numbers: fc.array(fc.nat(), {minLength: 20, maxLength: 20})}).map(({odd, numbers}) => {
 		let next = 0;
 		return replaceField(value, odd, count => numbers[next++ % numbers.length]! % count);
 	});
