--- a/packages/entry/src/entry-schemas.ts
+++ b/packages/entry/src/entry-schemas.ts
@@ -1,3 +1,5 @@
+// Schemas of what other processes write about hosts and workers: in the store, in messages between hosts and in settings.
+// They check ranges as well as types, so that what passes can be connected to, sent in a header and used by a timer.
 import * as z from 'zod';
 import {WorkerState} from '@apricotwood/steering';
 
@@ -15,11 +17,13 @@
 /** TCP or UDP port that can be connected to. */
 export const portSchema = z.number().int().min(1, 'must be 1 or more').max(MAX_PORT, `must be ${MAX_PORT} or less`);
 
+/** IPv4 address that can be connected to. */
 export const ipSchema = z.ipv4('must be an IPv4 address');
 
-/** Duration or point in time, ms. */
+/** Duration, ms. */
 export const durationMsSchema = z.number().min(0, 'must not be negative').max(MAX_DURATION_MS, `must be ${MAX_DURATION_MS} ms or less`);
 
+/** Number of requests that a worker runs at the same time. */
 export const slotsSchema = z.number().int().min(1, 'must be 1 or more').max(MAX_SLOTS, `must be ${MAX_SLOTS} or less`);
 
 /** Whole number of 0 or more that is exact: a count or a time, Unix ms. */
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -57,8 +57,9 @@
 	}
 
 	/**
-	 * Passes a request on, unless this host stops and may end before the response. If a host rejects it, as it may be full or at its share of
-	 * a rate limit, the next one is tried.
+	 * Passes a request on, unless this host stops and may end before the response. If
+	 * a host rejects it, as it may be full or at its share of a rate limit, the next
+	 * one is tried.
 	 * @param canRepeat whether the request can be sent again; a body that is streamed cannot.
 	 * @returns the result of the last host that received it; `undefined` if none did.
 	 */
