fix(soak): a period without calls at other hosts is not compared, and says so

`isolated` compares the calls of a host that reaches no worker with those at the others, as the rule does ("less than two thirds as often as those at the others"). All other cases are judged as before.

--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,5 +1,6 @@
 export {buildProgram} from './build.js';
 export {BREAKAGES, type Breakage} from './breakages.js';
+export {countUncompared} from './isolation.js';
 export {FaultKind, generatePlan, type Fault} from './plan.js';
 export {Link, LinkState} from './proxy.js';
 export {
--- a/packages/soak/src/isolation.ts
+++ b/packages/soak/src/isolation.ts
@@ -13,19 +13,44 @@
 /** Largest distance of calls that are compared, ms. */
 const CONCURRENT_MS = 250;
 
-/** Calls at hosts that reach no worker are served nearly as often as those at the others. */
+/** Calls that are compared for one period in which a host reached no worker. */
+type Comparison = {
+	readonly isolated: readonly Call[];
+	/** Calls at hosts that reached workers. */
+	readonly others: readonly Call[];
+	/** Number of calls at undisturbed hosts in the period, those at further hosts without workers included. */
+	readonly callCount: number;
+};
+
+/** Calls at hosts that reach no worker are served nearly as often as those at the others. Where there are no calls at others, nothing is compared, see `countUncompared`. */
 export function checkIsolation(records: SoakRecords): Violation[] {
-	return records.isolations.flatMap(isolation => checkPeriod(records, isolation));
+	return records.isolations.flatMap(isolation => checkPeriod(isolation, compare(records, isolation)));
+}
+
+/** Number of periods in which calls at a host that reached no worker could not be compared, as all other hosts were disturbed or isolated, too. */
+export function countUncompared(records: SoakRecords): number {
+	return records.isolations.filter(isolation => {
+		const {isolated, others} = compare(records, isolation);
+		return isolated.length > 0 && others.length === 0;
+	}).length;
 }
 
-function checkPeriod(records: SoakRecords, {subject, fromMs, untilMs}: Disturbance): Violation[] {
+function compare(records: SoakRecords, {subject, fromMs, untilMs}: Disturbance): Comparison {
 	const counted = records.calls.filter(({host, sentAtMs, endAtMs, end}) => end !== CallEnd.GaveUp && sentAtMs > fromMs + LEARNING_MS && endAtMs < untilMs
 		&& isUndisturbed(records, fromMs, endAtMs, [host]));
 	const isolated = counted.filter(({host}) => host === subject);
 	const others = counted.filter(({host}) => !records.isolations.some(isolation => isolation.subject === host && isolation.fromMs < untilMs && isolation.untilMs > fromMs));
+	return {isolated, others, callCount: counted.length};
+}
+
+function checkPeriod({subject}: Disturbance, {isolated, others, callCount}: Comparison): Violation[] {
+	if (others.length === 0) {
+		return [];
+	}
+
 	const expected = computeExpected(isolated, others);
 	const missing = expected - countServed(isolated);
-	const allowed = ALLOWED_FAILURES + (ALLOWED_FAILURE_RATIO * counted.length);
+	const allowed = ALLOWED_FAILURES + (ALLOWED_FAILURE_RATIO * callCount);
 	const isWorse = countServed(isolated) < MIN_SERVED_RATIO * expected;
 	return isWorse && missing > allowed
 		? [{promise: 'isolated', subject, message: `served ${countServed(isolated)} of ${isolated.length} calls while it reached no worker, the others ${countServed(others)} of ${others.length}`}]
@@ -43,9 +68,9 @@
 	return expected;
 }
 
-/** Ratio of the calls that were served; 1 if there are none. */
+/** Ratio of the calls that were served. @param calls at least one. */
 function computeServedRatio(calls: readonly Call[]): number {
-	return calls.length === 0 ? 1 : countServed(calls) / calls.length;
+	return countServed(calls) / calls.length;
 }
 
 function countServed(calls: readonly Call[]): number {
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -6,6 +6,7 @@
 import {SeededRandom} from '@apricotwood/clock';
 import {buildProgram, extractCommit} from './build.js';
 import {BREAKAGES} from './breakages.js';
+import {countUncompared} from './isolation.js';
 import {FaultKind} from './plan.js';
 import {runSoak} from './soak.js';
 
@@ -110,6 +111,11 @@
 	});
 	const servedCount = records.calls.filter(({status}) => status === 200).length;
 	console.log(`seed ${seed}: ${plan.length} faults, ${records.calls.length} calls, ${servedCount} served, ${breaches.length} promise violations`);
+	const uncomparedCount = countUncompared(records);
+	if (uncomparedCount > 0) {
+		console.log(`  isolated: ${uncomparedCount} periods not compared, as there were no calls at undisturbed hosts that reached workers`);
+	}
+
 	if (breaches.length === 0) {
 		return true;
 	}
--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -2,7 +2,7 @@
 import {readFileSync} from 'node:fs';
 import {test} from 'node:test';
 import {
-	BREAKAGES, UNTIMED_PROMISES, CallEnd, CallKind, FaultKind, TIMED_PROMISES, checkPromises, createRecords, type Call, type SoakRecords,
+	BREAKAGES, UNTIMED_PROMISES, CallEnd, CallKind, FaultKind, TIMED_PROMISES, checkPromises, countUncompared, createRecords, type Call, type SoakRecords,
 } from '@apricotwood/soak';
 
 function createCall(fields: Partial<Call> = {}): Call {
@@ -210,6 +210,11 @@
 	assert.deepEqual(findBrokenPromises({calls: outage, runs: early.map(({id}) => createRun({id})), isolations: [{...isolations[0]!, fromMs: 8000}]}), []);
 	const othersServed = calls.map(call => call.host === 'h1' ? call : {...call, status: 200});
 	assert.deepEqual(findBrokenPromises({calls: othersServed, runs: othersServed.map(({id}) => createRun({id})), isolations}), ['isolated']);
+	// Seeds 880103, 39201: all other hosts were disturbed or isolated as well, so that there is nothing to compare with.
+	const alone = createCalls('h1', 0);
+	assert.deepEqual(findBrokenPromises({calls: alone, isolations}), []);
+	assert.equal(countUncompared({...createRecords(), calls: alone, isolations}), 1);
+	assert.equal(countUncompared({...createRecords(), calls, isolations}), 0);
 });
 
 test('promises: reports a worker that is used long after a host has forwarded its word that it is leaving', () => {
