fix(entry): names of services and zones may have any characters

The check of odd entries asked of all names what only an id needs, that it can be the value of a header: a worker of a service with an accent or a space would have been left out. Test: adapter/odd-rows, names with any characters.

--- a/packages/entry/src/entry-schemas.ts
+++ b/packages/entry/src/entry-schemas.ts
@@ -3,7 +3,7 @@
 import * as z from 'zod';
 import {WorkerState} from '@apricotwood/steering';
 
-/** Longest name of a host, worker, service, zone or region, characters. */
+/** Longest id of a host or worker, and longest name of a service, zone or region, characters. */
 const MAX_NAME_LENGTH = 200;
 const MAX_PORT = 65_535;
 /** Most slots that a worker may have; an entry with more is an error of its writer. */
@@ -11,8 +11,13 @@
 /** Longest duration, ms: the longest delay of a timer. */
 export const MAX_DURATION_MS = (2 ** 31) - 1;
 
-/** Name that can be the value of a header and part of a key: visible ASCII characters. */
-export const nameSchema = z.string().max(MAX_NAME_LENGTH, `must have ${MAX_NAME_LENGTH} characters or fewer`).regex(/^[\u0021-\u007E]+$/, 'must be visible ASCII characters');
+const shortTextSchema = z.string().max(MAX_NAME_LENGTH, `must have ${MAX_NAME_LENGTH} characters or fewer`);
+
+/** Name of a service, zone or region. */
+export const nameSchema = shortTextSchema.min(1, 'must not be empty');
+
+/** Id of a host or worker, which is sent in headers and is part of keys: visible ASCII characters. */
+export const idSchema = shortTextSchema.regex(/^[\u0021-\u007E]+$/, 'must be visible ASCII characters');
 
 /** TCP or UDP port that can be connected to. */
 export const portSchema = z.number().int().min(1, 'must be 1 or more').max(MAX_PORT, `must be ${MAX_PORT} or less`);
@@ -34,7 +39,7 @@
 
 /** Entry of a host, as it is stored and sent between hosts. */
 export const hostEntrySchema = z.object({
-	id: nameSchema,
+	id: idSchema,
 	ip: ipSchema,
 	peerPort: portSchema,
 	callerAddress: addressSchema,
@@ -45,7 +50,7 @@
 
 /** Registration of a worker, as it is sent between hosts. */
 export const workerRegistrationSchema = z.object({
-	id: nameSchema,
+	id: idSchema,
 	service: nameSchema,
 	address: addressSchema,
 	zone: nameSchema,
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -4,7 +4,7 @@
 export {EntryHost, type EntryDeps, type EntrySettings} from './host/host.js';
 export {Ingress} from './request/ingress.js';
 export {
-	MAX_DURATION_MS, addressSchema, countSchema, hostEntrySchema, ipSchema, nameSchema, portSchema, slotsSchema,
+	MAX_DURATION_MS, addressSchema, countSchema, hostEntrySchema, idSchema, ipSchema, nameSchema, portSchema, slotsSchema,
 } from './entry-schemas.js';
 export {HostPhase} from './host/phase.js';
 export {computeShutdownSchedule, type ShutdownPeriods, type ShutdownSchedule} from './host/shutdown.js';
--- a/test/adapter/odd-rows.test.ts
+++ b/test/adapter/odd-rows.test.ts
@@ -78,6 +78,11 @@
 	}), {numRuns: 2000});
 });
 
+test('worker: names of services and zones may have any characters', () => {
+	const {service, zone} = decodeWorker('w', {...WORKER_ENTRY, info: {...WORKER_ENTRY.info, service: 'caf\u00E9 \u20AC', zone: 'zone 1'}});
+	assert.deepEqual([service, zone], ['caf\u00E9 \u20AC', 'zone 1']);
+});
+
 test('host: a generated odd entry is usable or refused', () => {
 	const valid = {
 		id: 'h', ip: '10.0.0.1', peerPort: 7620, callerAddress: '10.0.0.1:80', zone: 'a1', region: 'a', startedMs: 1,
