feat(entry): a host that ends logs the requests that it cuts, and a stopping one those that it starts

Each cut request now has its line `request` with the code `cut`; while the host stops, each attempt that it starts has a line with the time left and what bounds the request.

--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -16,6 +16,7 @@
 import {RequestForwarder} from '../request/request-forwarder.js';
 import type {RunningAttempt, SessionDeps} from '../request/session-deps.js';
 import {RetryDetector} from '../request/retry-detector.js';
+import {ShutdownReport} from '../request/shutdown-report.js';
 import {WaitingRetrier} from '../request/waiting-retrier.js';
 import type {HostEntry, SteeringSource} from '../source.js';
 import {SourcePoller} from '../state/source-poller.js';
@@ -85,12 +86,14 @@
 	readonly #running = new Set<RunningAttempt>();
 	readonly #attemptDurations = new AttemptDurations();
 	readonly #shutdownDeadline = new ShutdownDeadline(this.#attemptDurations, this.#running);
+	readonly #shutdownReport: ShutdownReport;
 	readonly #waitingRetrier: WaitingRetrier;
 
 	constructor(private readonly deps: EntryDeps) {
 		const {settings, clock, random, log, metrics, source, dialect} = deps;
 		const {self} = settings;
 		this.members = new MemberList(self);
+		this.#shutdownReport = new ShutdownReport({clock, log, metrics});
 		this.#statistics = new WorkerStatistics(this.members.hash, nowMs => this.#directory.findSendingHosts(nowMs));
 		const {rateLimits, rateLimiter, serviceTimes, objectCaches} = this.#statistics;
 		this.#isolation = new IsolationReports(this.members, clock);
@@ -202,6 +205,7 @@
 			maxIdleConnections: service => computeMaxIdleConnections(this.state.table?.getService(service)?.maxConnections, countHosts()),
 			countHosts,
 			getConfigVersion: () => this.state.table?.version,
+			shutdownReport: this.#shutdownReport,
 			isLeaving: () => this.lifecycle.phase === HostPhase.Leaving || this.lifecycle.phase === HostPhase.Closing,
 			onObjectSent: (worker, object) => {
 				this.#heartbeats.recordSentRequest(worker, object);
@@ -308,6 +312,7 @@
 			lifecycle: this.lifecycle,
 			ingress: this.#ingress,
 			deadline: this.#shutdownDeadline,
+			report: this.#shutdownReport,
 			graceMs: settings.graceMs,
 			lookupLifetimeMs: settings.lookupLifetimeMs,
 			announce: () => {
--- a/packages/entry/src/host/shutdown.ts
+++ b/packages/entry/src/host/shutdown.ts
@@ -2,6 +2,7 @@
 import type {ShutdownDeadline} from '@apricotwood/steering';
 import type {Log} from '@apricotwood/telemetry';
 import type {Ingress} from '../request/ingress.js';
+import type {ShutdownReport} from '../request/shutdown-report.js';
 import {HostEvent, type HostLifecycle} from './phase.js';
 
 /** Part of the grace period in which a host stays open to callers at most, as a ratio; the rest remains for requests in flight. */
@@ -28,6 +29,7 @@
 	readonly ingress: Ingress;
 	/** Set at the signal: requests that may end later are not started any more. */
 	readonly deadline: ShutdownDeadline;
+	readonly report: ShutdownReport;
 	/** Tells the other hosts that this one is leaving. */
 	readonly announce: () => void;
 };
@@ -49,11 +51,12 @@
 }
 
 /** After the signal: announces the shutdown, serves what can be answered in time, then drains until no request is in flight or the grace period ends. */
-export async function shutDownOnAbort({clock, log, lifecycle, ingress, deadline, announce, ...periods}: ShutdownDeps, signal: AbortSignal): Promise<void> {
+export async function shutDownOnAbort({clock, log, lifecycle, ingress, deadline, report, announce, ...periods}: ShutdownDeps, signal: AbortSignal): Promise<void> {
 	await waitForAbort(signal);
 	const startAtMs = clock.monotonic();
 	const {closeAfterMs, endAfterMs} = computeShutdownSchedule(periods);
 	deadline.set(startAtMs + endAfterMs);
+	report.begin(startAtMs, startAtMs + endAfterMs);
 	lifecycle.send(HostEvent.Leave);
 	announce();
 	log.info({event: 'leaving', running: ingress.running, closeAfterMs, endAfterMs});
@@ -66,7 +69,7 @@
 
 	const {running} = ingress;
 	ingress.reset();
-	log.info({event: 'left', running, tookMs: Math.round(clock.monotonic() - startAtMs)});
+	log.info({event: 'left', running, tookMs: Math.round(clock.monotonic() - startAtMs), ...report.counts});
 }
 
 async function waitForAbort(signal: AbortSignal): Promise<void> {
--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -18,6 +18,7 @@
 import {FORWARDED_HEADER, copyRequestHeaders} from './headers.js';
 import {FIRST_ERROR_STATUS, NOT_RUN_STATUSES} from './response-selection.js';
 import type {SessionDeps} from './session-deps.js';
+import {DeadlineBound} from './shutdown-report.js';
 
 /** Time after the deadline for a response of the worker itself, such as a 504, to arrive before this host cancels the exchange, ms. */
 const TIMEOUT_RESPONSE_GRACE_MS = 120;
@@ -83,7 +84,7 @@
 		const {registration: {id, address}, hash, region} = worker;
 		const startAtMs = clock.monotonic();
 		const record: AttemptRecord = {worker: id, warm: placement.cacheState !== CacheState.NotCached, load: placement.load, why: placement.reason};
-		this.records.push(record);
+		this.#addRecord(record);
 		const connection = pool.acquire(id, address, this.#connectionUse);
 		load.begin(hash);
 		this.#recordObject(hash);
@@ -109,7 +110,7 @@
 		const record: AttemptRecord = {
 			worker: entry.id, warm: false, load: 0, why: FORWARD_REASON,
 		};
-		this.records.push(record);
+		this.#addRecord(record);
 		const address = `${entry.ip}:${entry.peerPort}`;
 		const connection = peerPool.acquire(entry.id, address, this.#connectionUse);
 		// The peer applies the timeout of the route itself.
@@ -145,6 +146,14 @@
 		return this.request.deadlineAtMs - this.deps.clock.monotonic();
 	}
 
+	#addRecord(record: AttemptRecord): void {
+		const {metadata: {requestId, waitsMs}, route: {timeoutMs}, deadlineAtMs} = this.request;
+		this.records.push(record);
+		this.deps.shutdownReport.recordStart({
+			requestId, target: record.worker, deadlineAtMs, bound: waitsMs !== undefined && waitsMs < timeoutMs ? DeadlineBound.CallerTimeout : DeadlineBound.RouteTimeout,
+		});
+	}
+
 	#recordObject(worker: number): void {
 		const {object} = this.request;
 		if (object !== undefined) {
--- a/packages/entry/src/request/ingress.ts
+++ b/packages/entry/src/request/ingress.ts
@@ -26,8 +26,8 @@
 /** HTTP server for callers: validates each request, matches its route and starts a session for it. */
 export class Ingress {
 	readonly #server: Server;
-	/** Responses that have not been handed over to the network completely. */
-	readonly #inFlight = new Set<ServerResponse>();
+	/** Responses that have not been handed over to the network completely, with the sessions that create them. */
+	readonly #inFlight = new Map<ServerResponse, Session | undefined>();
 
 	constructor(private readonly state: ReplicatedState, private readonly deps: SessionDeps) {
 		this.#server = createServer({maxHeaderSize: MAX_PARSED_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: 1000}, (req, res) => {
@@ -76,9 +76,16 @@
 		this.#server.closeAllConnections();
 	}
 
-	/** Resets the connections of the requests in flight, so that a response without a length does not look complete when the process ends. */
+	/** Resets the connections of the requests in flight and logs these requests. A response without a length would look complete if its connection ended regularly. */
 	reset(): void {
-		for (const {socket} of this.#inFlight) {
+		for (const [{req, socket}, session] of this.#inFlight) {
+			this.deps.shutdownReport.recordCut(() => {
+				if (session) {
+					session.logCut();
+				} else {
+					this.#logRequest(req, RejectionCode.Cut, undefined);
+				}
+			});
 			if (socket) {
 				resetSocket(socket);
 			}
@@ -91,7 +98,7 @@
 	}
 
 	async #handle(req: IncomingMessage, res: ServerResponse, isForwarded: boolean): Promise<void> {
-		this.#inFlight.add(res);
+		this.#inFlight.set(res, undefined);
 		res.once('close', () => {
 			this.#inFlight.delete(res);
 		});
@@ -129,22 +136,28 @@
 			return;
 		}
 
-		await new Session(this.deps, req, res, route, this.deps.dialect.parseRequestHeaders(req.headers), isForwarded).run();
+		const session = new Session(this.deps, req, res, route, this.deps.dialect.parseRequestHeaders(req.headers), isForwarded);
+		this.#inFlight.set(res, session);
+		await session.run();
 	}
 
 	#reject(req: IncomingMessage, res: ServerResponse, rejection: Rejection): void {
 		this.deps.metrics.count(`requests.${rejection.code}`);
+		this.#logRequest(req, rejection.code, rejection.status);
+		sendRejection(res, rejection);
+	}
+
+	#logRequest(req: IncomingMessage, code: RejectionCode, status: number | undefined): void {
 		this.deps.log.info({
 			event: 'request',
 			id: this.deps.dialect.parseRequestHeaders(req.headers).requestId,
-			code: rejection.code,
-			status: rejection.status,
+			code,
+			status,
 			host: req.headers.host,
 			url: req.url,
 			config: this.state.table?.version,
 			ageMs: Math.round(this.state.ageMs()),
 		});
-		sendRejection(res, rejection);
 	}
 }
 
--- a/packages/entry/src/request/rejection.ts
+++ b/packages/entry/src/request/rejection.ts
@@ -31,6 +31,8 @@
 	/** The request may have run; the last exchange was cancelled, normally at the deadline, or its 504 was not forwarded. */
 	Timeout = 'timeout',
 	CallerLeft = 'caller-left',
+	/** This host ended before the response had been handed over to the network; the caller's connection was reset. */
+	Cut = 'cut',
 }
 
 /** Response that this host generates itself. */
--- a/packages/entry/src/request/session-deps.ts
+++ b/packages/entry/src/request/session-deps.ts
@@ -10,6 +10,7 @@
 import type {CrashGuard} from './crash-guard.js';
 import type {RequestForwarder} from './request-forwarder.js';
 import type {RetryDetector} from './retry-detector.js';
+import type {ShutdownReport} from './shutdown-report.js';
 
 /** An attempt that is waiting for a response. */
 export type RunningAttempt = StartedAttempt & {
@@ -57,6 +58,7 @@
 	readonly countHosts: () => number;
 	/** Returns the version of the active configuration, for logging. */
 	readonly getConfigVersion: () => number | undefined;
+	readonly shutdownReport: ShutdownReport;
 	/** Whether the host is shutting down and callers should use other hosts. */
 	readonly isLeaving: () => boolean;
 	/** Called with the hashes of worker and object when a request with an affinity key is sent. */
--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -44,6 +44,7 @@
 	#hasCallerLeft = false;
 	/** Why the request was stopped before it had a response. */
 	#stopReason: Rejection | undefined;
+	#isCut = false;
 
 	constructor(
 		private readonly deps: SessionDeps,
@@ -318,18 +319,31 @@
 		this.#sender?.cancel();
 	}
 
+	/** Logs that this host ends before the response has been handed over to the network; attempts without an end are in progress. */
+	logCut(): void {
+		this.#isCut = true;
+		this.#log(RejectionCode.Cut, 'this host ended before the response');
+	}
+
 	#finish(rejection: Rejection | undefined): void {
+		if (this.#isCut) {
+			return;
+		}
+
 		if (rejection && !this.#hasCallerLeft) {
 			this.#writer.reject(rejection);
 		}
 
-		this.#log(rejection);
+		if (rejection?.code === RejectionCode.Stopping) {
+			this.deps.shutdownReport.recordRejection();
+		}
+
+		this.#log(this.#hasCallerLeft ? RejectionCode.CallerLeft : (rejection?.code ?? 'answered'), rejection?.message);
 	}
 
-	#log(rejection: Rejection | undefined): void {
+	#log(code: RejectionCode | 'answered', message: string | undefined): void {
 		const {log, metrics, clock, getConfigVersion} = this.deps;
 		const ms = Math.round(clock.monotonic() - this.#startAtMs);
-		const code = this.#hasCallerLeft ? RejectionCode.CallerLeft : (rejection?.code ?? 'answered');
 		const hasCrashes = code === RejectionCode.Quarantined || code === RejectionCode.Suspect || (this.#sender?.brokenAttempts ?? 0) > 0;
 		metrics.count(`requests.${code}`);
 		metrics.latency(`request.${this.route.kind}`, ms);
@@ -348,7 +362,7 @@
 			targetLeftMs: Math.round(this.#targetAtMs - clock.monotonic()),
 			attempts: this.#sender?.records ?? [],
 			fingerprint: hasCrashes ? this.#fingerprint?.value : undefined,
-			message: rejection?.message,
+			message,
 		});
 	}
 }
--- a/test/entry/stopping-host.test.ts
+++ b/test/entry/stopping-host.test.ts
@@ -105,6 +105,30 @@
 	assert.equal((await upload('/photos/known', CALLER_TIMEOUT_MS)).status, 200);
 });
 
+test('a host that ends with a request in flight logs which one, where it was and when it began', async () => {
+	worker.processingMs = GRACE_MS;
+	const response = upload('/photos/endless', CALLER_TIMEOUT_MS);
+	const id = `stopping-${nextId}`;
+	await waitUntil('the worker has it', () => worker.executedRequestIds.includes(id));
+	host.beginShutdown();
+	assert.equal(await countCutRequests(), 1);
+	assert.equal((await response).status, undefined);
+	const lines = host.logLines.filter(line => line.id === id);
+	assert.deepEqual(lines.map(({event, code}) => [event, code]), [['request', 'cut']]);
+	const [{ms, attempts}] = lines as [{ms: number; attempts: Array<{worker: string; end?: string}>}];
+	assert.ok(ms > GRACE_MS / 2);
+	assert.deepEqual(attempts.map(({worker: target, end}) => [target, end]), [['w1', undefined]]);
+	assert.equal(host.logLines.find(({event}) => event === 'left')?.cut, 1);
+});
+
+test('a host that stops logs each request that it starts, with the time left and what bounds it', async () => {
+	host.beginShutdown();
+	const {id} = await upload('/photos/short', 800);
+	const line = host.logLines.find(({event}) => event === 'started-while-stopping')!;
+	assert.deepEqual({id: line.id, target: line.target, bound: line.bound}, {id, target: 'w1', bound: 'caller-timeout'});
+	assert.ok(Number(line.boundMs) <= 800 && Number(line.leftMs) > 800);
+});
+
 test('a host that stops ends requests in flight up to 0.3 s before its grace period ends', async () => {
 	worker.processingMs = GRACE_MS - 400;
 	const startMs = Date.now();
