--- a/packages/entry/src/host/shutdown.ts
+++ b/packages/entry/src/host/shutdown.ts
@@ -67,6 +67,8 @@
 		await sleep(clock, DRAIN_POLL_INTERVAL_MS); // eslint-disable-line no-await-in-loop
 	}
 
+	// No request may be started between the last count of those in flight and the end of the process.
+	deadline.close();
 	const {running} = ingress;
 	ingress.reset();
 	log.info({event: 'left', running, tookMs: Math.round(clock.monotonic() - startAtMs), ...report.counts});
--- a/packages/entry/src/request/ingress.ts
+++ b/packages/entry/src/request/ingress.ts
@@ -71,12 +71,7 @@
 		this.#server.closeIdleConnections();
 	}
 
-	/** Closes all connections immediately. */
-	destroy(): void {
-		this.#server.closeAllConnections();
-	}
-
-	/** Resets the connections of the requests in flight and logs these requests. A response without a length would look complete if its connection ended regularly. */
+	/** Closes all connections. Those of the requests in flight are reset, as a response without a length would look complete otherwise, and these requests are logged. */
 	reset(): void {
 		for (const [{req, socket}, session] of this.#inFlight) {
 			this.deps.shutdownReport.recordCut(() => {
@@ -90,6 +85,8 @@
 				resetSocket(socket);
 			}
 		}
+
+		this.#server.closeAllConnections();
 	}
 
 	/** Handles a request that another host has passed on. */
--- a/packages/steering/src/shutdown-deadline.ts
+++ b/packages/steering/src/shutdown-deadline.ts
@@ -16,6 +16,11 @@
 		this.#endAtMs = endAtMs;
 	}
 
+	/** From now on, nothing is started any more. */
+	close(): void {
+		this.#endAtMs = Number.NEGATIVE_INFINITY;
+	}
+
 	/** Whether a request that is started now has ended before the host. @param deadlineAtMs deadline of the request, monotonic ms. */
 	allows({deadlineAtMs}: {readonly deadlineAtMs: number}): boolean {
 		return deadlineAtMs + RESPONSE_GRACE_MS <= this.#endAtMs;
--- a/test/entry/stopping-host.test.ts
+++ b/test/entry/stopping-host.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import {Agent, request as httpRequest} from 'node:http';
 import {
 	after, afterEach, before, beforeEach, test,
 } from 'node:test';
+import {connect} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {FakeStore, FakeWorker, createOperatorConfig} from '@apricotwood/platform/standin';
 import {TestEntryHost, waitUntil, freePorts} from '../fixtures/test-entry-host.js';
@@ -144,3 +146,19 @@
 	assert.equal((await response).status, 200);
 	assert.ok(Date.now() - startMs < GRACE_MS);
 });
+
+// LOST (issue 44): a connection that has carried no request stays open at the close, and its request was passed on while the process ended.
+test('a host that has counted no request in flight and ends starts none any more', async () => {
+	const [ip, port] = host.settings.entry.self.callerAddress.split(':');
+	const socket = connect(Number(port), ip);
+	socket.on('error', () => {});
+	await once(socket, 'connect');
+	const hasClosed = once(socket, 'close');
+	const executed = worker.receivedRequests.length;
+	host.beginShutdown();
+	await waitUntil('the host has left', () => host.logLines.some(({event}) => event === 'left'));
+	socket.write('GET /load/after HTTP/1.1\r\nHost: a.example\r\nRequest-Id: after\r\nRequest-Deadline-Ms: 300\r\n\r\n');
+	await Promise.race([hasClosed, delay(1000)]);
+	assert.equal(worker.receivedRequests.length, executed);
+	assert.equal(socket.destroyed, true);
+});
