--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -311,6 +311,7 @@
 			ingress: this.#ingress,
 			deadline: this.#shutdownDeadline,
 			report: this.#shutdownReport,
+			getLastRunAtMs: () => this.#waitingRetrier.lastRunAtMs,
 			graceMs: settings.graceMs,
 			lookupLifetimeMs: settings.lookupLifetimeMs,
 			announce: () => {
--- a/packages/entry/src/request/waiting-retrier.ts
+++ b/packages/entry/src/request/waiting-retrier.ts
@@ -26,6 +26,7 @@
 export class WaitingRetrier {
 	#isScheduled = false;
 	#maxLagMs = 0;
+	#lastRunAtMs = Number.POSITIVE_INFINITY;
 
 	constructor(private readonly deps: WaitingRetrierDeps) {}
 
@@ -37,6 +38,7 @@
 			const dueAtMs = clock.monotonic() + intervalMs;
 			await sleep(clock, intervalMs, signal); // eslint-disable-line no-await-in-loop
 			const nowMs = clock.monotonic();
+			this.#lastRunAtMs = nowMs;
 			this.#recordLag(nowMs - dueAtMs);
 			this.#recordOverdue(nowMs);
 			this.schedule();
@@ -53,6 +55,11 @@
 		void this.#retry();
 	}
 
+	/** Latest time at which the event loop is known not to have been blocked, monotonic ms. */
+	get lastRunAtMs(): number {
+		return Math.min(this.#lastRunAtMs, this.deps.clock.monotonic());
+	}
+
 	/** Longest lag of the event loop since the last call, ms. */
 	takeMaxLagMs(): number {
 		const maxLagMs = this.#maxLagMs;
--- a/test/entry/stopping-host.test.ts
+++ b/test/entry/stopping-host.test.ts
@@ -162,3 +162,20 @@
 	assert.equal(worker.receivedRequests.length, executed);
 	assert.equal(socket.destroyed, true);
 });
+
+// LOST (issue 44): the platform counts the grace period from the signal, a host whose event loop lagged from the moment at which it noticed it.
+test('a host that notices the stop signal late ends within the grace period of the signal', async () => {
+	worker.processingMs = 2 * GRACE_MS;
+	const response = upload('/photos/endless', CALLER_TIMEOUT_MS);
+	await waitUntil('the worker has it', () => worker.executedRequestIds.includes(`stopping-${nextId}`));
+	await delay(200);
+	const signalAtMs = performance.now();
+	while (performance.now() < signalAtMs + 600) {
+		// The event loop is busy when the signal comes.
+	}
+
+	host.beginShutdown();
+	await host.stop();
+	assert.ok(performance.now() - signalAtMs < GRACE_MS);
+	await response;
+});
