fix(entry): a catch-up that ends with this host is not logged as the other host's failure

The abort signal is passed down to the catch-up request, so it ends before the connections to peers are closed, and nothing is logged or applied for it. It is not waited for: a connection that is being opened ends only when the client is closed. Test: entry/catch-up-at-end, which found one line `catch-up-failed`, "The client is destroyed", before.

--- a/packages/entry/src/peer/catch-up.ts
+++ b/packages/entry/src/peer/catch-up.ts
@@ -5,6 +5,7 @@
 import {workerRegistrationSchema} from '../entry-schemas.js';
 import type {HostEntry, WorkersUpdate} from '../source.js';
 import type {CatchUpResponse, CatchUpRequest, ReplicatedState} from '../state/replicated-state.js';
+import type {CatchUpSource} from './state-follower.js';
 
 /** Timeout of a catch-up request as a whole, and separately of connecting, of the response headers and of the response body, ms. */
 const TIMEOUT_MS = 800;
@@ -24,14 +25,15 @@
 type CatchUpRouter = ReturnType<typeof createCatchUpRouter>;
 
 /** Requests changes from peers. `since` rejects if the peer is unreachable or does not respond within the timeout. */
-export class CatchUpClient {
+export class CatchUpClient implements CatchUpSource {
 	readonly #clients = new Map<string, TRPCClient<CatchUpRouter>>();
 	readonly #agent = new Agent({
 		connections: 1, keepAliveTimeout: KEEP_ALIVE_MS, headersTimeout: TIMEOUT_MS, bodyTimeout: TIMEOUT_MS, connect: {timeout: TIMEOUT_MS},
 	});
 
-	async since({ip, peerPort}: HostEntry, request: CatchUpRequest): Promise<CatchUpResponse> {
-		const response = await this.#clientOf(`http://${ip}:${peerPort}`).since.query(request, {signal: AbortSignal.timeout(TIMEOUT_MS)}) as CatchUpResponse;
+	async since({ip, peerPort}: HostEntry, request: CatchUpRequest, signal: AbortSignal): Promise<CatchUpResponse> {
+		const client = this.#clientOf(`http://${ip}:${peerPort}`);
+		const response = await client.since.query(request, {signal: AbortSignal.any([signal, AbortSignal.timeout(TIMEOUT_MS)])}) as CatchUpResponse;
 		return {...response, workers: response.workers && dropUnusableWorkers(response.workers)};
 	}
 
--- a/packages/entry/src/peer/heartbeat-receiver.ts
+++ b/packages/entry/src/peer/heartbeat-receiver.ts
@@ -36,8 +36,8 @@
 export class HeartbeatReceiver {
 	constructor(private readonly deps: HeartbeatReceiverDeps) {}
 
-	/** Handles a message, which is a report or a heartbeat. @param from address of the host that sent or forwarded it. */
-	receive(bytes: Buffer, from: Address): void {
+	/** Handles a message, which is a report or a heartbeat. @param from address of the host that sent or forwarded it. @param signal ends what the message starts. */
+	receive(bytes: Buffer, from: Address, signal: AbortSignal): void {
 		if (isReport(bytes)) {
 			this.deps.reports.receive(bytes);
 			return;
@@ -61,6 +61,7 @@
 		const isDirect = isAddressOf(member.entry, from);
 		this.#handleHeartbeat(member, heartbeat, isDirect);
 		if (isDirect) {
+			this.deps.stateFollower.compare(member, heartbeat, signal);
 			this.#forward(member, bytes);
 		}
 	}
@@ -82,7 +83,7 @@
 	}
 
 	#handleHeartbeat(member: Member, heartbeat: Heartbeat, isDirect: boolean): void {
-		const {clock, load, objectCaches, stateFollower} = this.deps;
+		const {clock, load, objectCaches} = this.deps;
 		const nowMs = clock.monotonic();
 		this.#recordHostStatus(member, heartbeat, nowMs);
 		load.recordPeer(member.entry.id, heartbeat.loads, nowMs);
@@ -94,10 +95,6 @@
 		if (heartbeat.zone) {
 			this.#handleZoneSummary(member.entry.zone, heartbeat.zone, nowMs);
 		}
-
-		if (isDirect) {
-			stateFollower.compare(member, heartbeat);
-		}
 	}
 
 	/** Records what only a heartbeat that was not forwarded tells. */
--- a/packages/entry/src/peer/heartbeat-service.ts
+++ b/packages/entry/src/peer/heartbeat-service.ts
@@ -88,7 +88,7 @@
 	async run(signal: AbortSignal): Promise<void> {
 		const {clock, channel, members: {self}} = this.deps;
 		await channel.open({ip: self.ip, port: self.peerPort}, (bytes, from) => {
-			this.#receiver.receive(bytes, from);
+			this.#receiver.receive(bytes, from, signal);
 		});
 		try {
 			while (!signal.aborted) {
--- a/packages/entry/src/peer/state-follower.ts
+++ b/packages/entry/src/peer/state-follower.ts
@@ -10,9 +10,10 @@
 /** If the state becomes fresher by more than this in one step, a relay sends the non-relay hosts of its zone a heartbeat at once, ms. */
 const MIN_FRESHNESS_GAIN_MS = 250;
 
-/** Requests the changes after given revisions from a host. Rejects if the host does not respond. */
+/** Requests the changes after given revisions from a host. */
 export interface CatchUpSource {
-	since(host: HostEntry, request: CatchUpRequest): Promise<CatchUpResponse>;
+	/** Rejects if the host does not respond, or the signal is aborted. */
+	since(host: HostEntry, request: CatchUpRequest, signal: AbortSignal): Promise<CatchUpResponse>;
 }
 
 /** Dependencies of a `StateFollower`. */
@@ -31,29 +32,37 @@
 
 	constructor(private readonly deps: StateFollowerDeps) {}
 
-	/** Compares the state with the one that a peer announces: takes over its freshness, or requests missing changes from it. */
-	compare(member: Member, {operations, workers}: Pick<Heartbeat, 'operations' | 'workers'>): void {
+	/** Compares the state with the one that a peer announces: takes over its freshness, or requests missing changes from it. @param signal ends the request. */
+	compare(member: Member, {operations, workers}: Pick<Heartbeat, 'operations' | 'workers'>, signal: AbortSignal): void {
 		const {state, sender} = this.deps;
 		const previousAgeMs = state.ageMs();
 		const request = state.compareWithPeer(operations, workers);
 		if (request && !this.#isCatchingUp) {
-			void this.#requestCatchUp(member, request);
+			void this.#requestCatchUp(member, request, signal);
 		} else if (previousAgeMs - state.ageMs() > MIN_FRESHNESS_GAIN_MS) {
 			sender.notifyNonRelays();
 		}
 	}
 
-	async #requestCatchUp(member: Member, request: CatchUpRequest): Promise<void> {
+	async #requestCatchUp(member: Member, request: CatchUpRequest, signal: AbortSignal): Promise<void> {
 		const {state, catchUp, log, clock, relaySelector, sender} = this.deps;
 		this.#isCatchingUp = true;
 		const startAtMs = clock.monotonic();
 		try {
-			state.applyCatchUp(await catchUp.since(member.entry, request), startAtMs);
+			const response = await catchUp.since(member.entry, request, signal);
+			if (signal.aborted) {
+				return;
+			}
+
+			state.applyCatchUp(response, startAtMs);
 			if (relaySelector.isRelay(clock.monotonic())) {
 				sender.send();
 			}
 		} catch (error) {
-			log.warn({event: 'catch-up-failed', host: member.entry.id, message: (error as Error).message});
+			// A request that ends because this host ends is no failure of the peer.
+			if (!signal.aborted) {
+				log.warn({event: 'catch-up-failed', host: member.entry.id, message: (error as Error).message});
+			}
 		} finally {
 			this.#isCatchingUp = false;
 		}
