refactor(entry): the parts of a host are put together by what they do

HostState has the replica, the poller and the reaction to updates; WorkerService what reaches workers and what is known and reported of them; createIngress what serves callers; PeerService heartbeats and registration. EntryHost connects the four and runs them. Behaviour is unchanged.

--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -1,35 +1,30 @@
 import type {Clock, Random} from '@apricotwood/clock';
-import {hashText} from '@apricotwood/routing';
 import {
-	AttemptDurations, CrashTracker, LoadTracker, Placer, ReportInterval, RetryBudget, ShutdownDeadline, TrafficSplitter, WaitingRequests, WarmupLimiter, type RetryBudgetOptions,
+	AttemptDurations, LoadTracker, ReportInterval, ShutdownDeadline, WaitingRequests, type RetryBudgetOptions,
 } from '@apricotwood/steering';
 import {Supervisor} from '@apricotwood/supervisor';
 import type {Log, Metrics} from '@apricotwood/telemetry';
 import type {Dialect} from '../dialect.js';
-import {HeartbeatService} from '../peer/heartbeat-service.js';
+import type {HeartbeatService} from '../peer/heartbeat-service.js';
 import {CatchUpClient} from '../peer/catch-up.js';
-import {UdpChannel} from '../peer/channel.js';
-import {IsolationReports} from '../peer/isolation-reports.js';
 import {MemberList} from '../peer/members.js';
 import {servePeers} from '../peer/peer-server.js';
-import {Ingress} from '../request/ingress.js';
-import {RequestForwarder} from '../request/request-forwarder.js';
-import type {RunningAttempt, SessionDeps} from '../request/session-deps.js';
-import {RetryDetector} from '../request/retry-detector.js';
+import type {Ingress} from '../request/ingress.js';
+import type {RunningAttempt} from '../request/session-deps.js';
 import {WaitingRetrier} from '../request/waiting-retrier.js';
 import type {HostEntry, SteeringSource} from '../source.js';
-import {SourcePoller} from '../state/source-poller.js';
-import {ReplicatedState} from '../state/replicated-state.js';
+import type {ReplicatedState} from '../state/replicated-state.js';
 import {createTcpConnector, type Connector} from '../upstream/connector.js';
-import {ConnectionPool, computeMaxIdleConnections} from '../upstream/pool.js';
+import {ConnectionPool} from '../upstream/pool.js';
+import {createIngress} from './caller-service.js';
 import {HostDirectory} from './directory.js';
-import {createHostReports} from './host-reports.js';
-import {HostEvent, HostLifecycle, HostPhase} from './phase.js';
-import {Registration} from './registration.js';
+import {HostState} from './host-state.js';
+import {PeerService} from './peer-service.js';
+import {HostLifecycle, HostPhase} from './phase.js';
 import {shutDownOnAbort} from './shutdown.js';
 import {StateReporter} from './state-reporter.js';
-import {WorkerAccess} from './worker-access.js';
-import {WorkerStatistics} from './worker-statistics.js';
+import type {WorkerAccess} from './worker-access.js';
+import {WorkerService} from './worker-service.js';
 
 /** Settings of an entry host. */
 export type EntrySettings = {
@@ -70,16 +65,15 @@
 	readonly lifecycle = new HostLifecycle();
 	readonly #ingress: Ingress;
 	readonly #heartbeats: HeartbeatService;
-	readonly #sourcePoller: SourcePoller;
+	readonly #hostState: HostState;
+	readonly #workers: WorkerService;
 	readonly #workerAccess: WorkerAccess;
 	readonly #directory: HostDirectory;
-	readonly #isolation: IsolationReports;
 	readonly #peerPool: ConnectionPool;
-	readonly #registration: Registration;
+	readonly #peers: PeerService;
 	readonly #stateReporter: StateReporter;
 	readonly #catchUp = new CatchUpClient();
-	readonly #statistics: WorkerStatistics;
-	readonly #crashes = new CrashTracker();
+	readonly #load = new LoadTracker();
 	readonly #reportInterval = new ReportInterval();
 	readonly #waiting = new WaitingRequests<() => void>(MAX_WAITING_REQUESTS);
 	readonly #running = new Set<RunningAttempt>();
@@ -88,184 +82,25 @@
 	readonly #waitingRetrier: WaitingRetrier;
 
 	constructor(private readonly deps: EntryDeps) {
-		const {settings, clock, random, log, metrics, source, dialect} = deps;
-		const {self} = settings;
-		this.members = new MemberList(self);
-		this.#statistics = new WorkerStatistics(this.members.hash, nowMs => this.#directory.findSendingHosts(nowMs));
-		const {rateLimits, rateLimiter, serviceTimes, objectCaches} = this.#statistics;
-		this.#isolation = new IsolationReports(this.members, clock);
+		const {settings, clock, metrics} = deps;
+		this.members = new MemberList(settings.self);
 		this.#peerPool = new ConnectionPool({
 			clock, metrics, connector: createTcpConnector(), onConnect() {}, onConnectFailure() {},
 		});
-		this.state = new ReplicatedState(clock, log, {
-			onWorkerStart: id => {
-				this.#workerAccess.drains.reset(this.state.fleet.get(id)!);
-				this.#resetWorker(id);
-			},
-			onWorkerRemoved: id => {
-				this.#resetWorker(id);
-				this.#workerAccess.pool.removeWorker(id);
-			},
-			onUpdateApplied: () => {
-				this.#onStateChange();
-			},
-		}, settings.regions);
-		this.#waitingRetrier = new WaitingRetrier({
-			clock, metrics, waiting: this.#waiting, running: this.#running, serviceTimes,
-		});
-		const load = new LoadTracker();
-		const countHosts = () => this.members.count;
-		this.#workerAccess = new WorkerAccess({
-			clock,
-			random,
-			log,
-			metrics,
-			dialect,
-			state: this.state,
-			hostHash: this.members.hash,
-			rateLimits,
-			rateLimiter,
-			connector: deps.connector ?? createTcpConnector(),
-			onCrash(worker, fingerprints) {
-				crashGuard.recordCrash(worker, fingerprints);
-			},
-			onDraining: worker => {
-				drainReports.recordOwn(worker);
-				this.#heartbeats.sendReports();
-			},
-			onIsolationChange: isIsolated => {
-				this.#onIsolationChange(isIsolated);
-			},
-		});
-		const {reachability, roundTrips, health, availability, drains} = this.#workerAccess;
+		this.#hostState = this.#createState();
+		this.state = this.#hostState.replica;
+		this.#workers = this.#createWorkers();
+		this.#workerAccess = this.#workers.access;
 		this.#directory = new HostDirectory({
-			clock, members: this.members, isolation: this.#isolation, reachability, isReady: () => this.isReady,
-		});
-		const placer = new Placer({region: self.region}, {
-			fleet: this.state.fleet,
-			load,
-			objectCaches,
-			serviceTimes,
-			health,
-			roundTrips,
-			warmupLimiter: new WarmupLimiter(hashText(self.id)),
-			availability,
-			rateLimiter,
-			shutdownDeadline: this.#shutdownDeadline,
-			countHosts,
-			warmupPerSecond: service => this.state.table?.getService(service)?.warmupPerSecond,
-		});
-		const {crashGuard, drainReports, reports} = createHostReports({
-			clock,
-			log,
-			metrics,
-			state: this.state,
-			crashes: this.#crashes,
-			drains,
-			rateLimits,
-			isolation: this.#isolation,
-			onCrashChange: () => {
-				this.#heartbeats.sendReports();
-			},
-		});
-		const sessionDeps: SessionDeps = {
-			clock,
-			random,
-			log,
-			metrics,
-			dialect,
-			placer,
-			pool: this.#workerAccess.pool,
-			peerPool: this.#peerPool,
-			forwarder: new RequestForwarder({
-				clock, random, reachability, isolation: this.#isolation, shutdownDeadline: this.#shutdownDeadline, region: self.region,
-			}),
-			hostId: self.id,
-			load,
-			objectCaches,
-			serviceTimes,
-			attemptDurations: this.#attemptDurations,
-			workerHealth: health,
-			availability,
-			workerFeedback: this.#workerAccess.feedback,
-			reachability,
-			crashDetector: this.#workerAccess.crashDetector,
-			crashGuard,
-			roundTrips,
-			retryBudget: new RetryBudget(settings.retryBudget),
-			trafficSplitter: new TrafficSplitter(),
-			retryDetector: new RetryDetector(),
-			waiting: this.#waiting,
-			running: this.#running,
-			reportInterval: this.#reportInterval,
-			maxBodyBytes: () => this.state.table?.config.limits.maxBodyBytes ?? 0,
-			maxIdleConnections: service => computeMaxIdleConnections(this.state.table?.getService(service)?.maxConnections, countHosts()),
-			countHosts,
-			getConfigVersion: () => this.state.table?.version,
-			isLeaving: () => this.lifecycle.phase === HostPhase.Leaving || this.lifecycle.phase === HostPhase.Closing,
-			onObjectSent: (worker, object) => {
-				this.#heartbeats.recordSentRequest(worker, object);
-			},
-			onCapacityFreed: () => {
-				this.#waitingRetrier.schedule();
-			},
-		};
-		this.#ingress = new Ingress(this.state, sessionDeps);
-		this.#sourcePoller = new SourcePoller({
-			clock,
-			random,
-			log,
-			metrics,
-			source,
-			state: this.state,
-			rank: () => this.members.rank(clock.monotonic(), this.#sourcePoller.isFailing),
-			onStateChange: () => {
-				this.#heartbeats.send();
-			},
-		});
-		this.#heartbeats = new HeartbeatService({
-			clock,
-			log,
-			metrics,
-			members: this.members,
-			state: this.state,
-			load,
-			objectCaches,
-			reports,
-			channel: new UdpChannel(log, metrics),
-			catchUp: this.#catchUp,
-			isReady: () => this.isReady,
-			isSourceFailing: () => this.#sourcePoller.isFailing,
-			reportInterval: this.#reportInterval,
-		});
-		this.#registration = new Registration({
-			clock,
-			log,
-			source,
-			self,
-			members: this.members,
-			getEpoch: () => this.state.epoch,
-			onFailure: () => {
-				this.#contactSeeds();
-			},
-			onAttempt: () => {
-				this.#heartbeats.send();
-			},
+			clock, members: this.members, isolation: this.#workers.isolation, reachability: this.#workerAccess.reachability, isReady: () => this.isReady,
 		});
-		this.#stateReporter = new StateReporter({
-			clock,
-			log,
-			members: this.members,
-			state: this.state,
-			sourcePoller: this.#sourcePoller,
-			waiting: this.#waiting,
-			running: this.#running,
-			waitingRetrier: this.#waitingRetrier,
-			reachability,
-			crashes: this.#crashes,
-			objectCaches,
-			serviceTimes,
+		this.#waitingRetrier = new WaitingRetrier({
+			clock, metrics, waiting: this.#waiting, running: this.#running, serviceTimes: this.#workers.statistics.serviceTimes,
 		});
+		this.#ingress = this.#createIngress();
+		this.#peers = this.#createPeers();
+		this.#heartbeats = this.#peers.heartbeats;
+		this.#stateReporter = this.#createStateReporter();
 	}
 
 	/** Whether this host should be advertised to callers. */
@@ -295,8 +130,8 @@
 		const tasks = supervisor.run([
 			{name: 'beats', run: async inner => this.#heartbeats.run(inner)},
 			{name: 'catch-up', run: async inner => this.#servePeers(inner)},
-			{name: 'join', run: async inner => this.#registration.run(inner)},
-			{name: 'follow', run: async inner => this.#sourcePoller.run(inner)},
+			{name: 'join', run: async inner => this.#peers.registration.run(inner)},
+			{name: 'follow', run: async inner => this.#hostState.poller.run(inner)},
 			{name: 'checks', run: async inner => this.#workerAccess.runHealthChecks(inner)},
 			{name: 'reach', run: async inner => this.#workerAccess.runProbes(inner)},
 			{name: 'report', run: async inner => this.#stateReporter.run(inner)},
@@ -328,39 +163,98 @@
 		}, signal);
 	}
 
-	#contactSeeds(): void {
-		const {settings: {seeds, self}} = this.deps;
-		for (const ip of seeds) {
-			if (ip !== self.ip) {
-				this.#heartbeats.announceTo(ip, self.peerPort);
-			}
-		}
+	#createState(): HostState {
+		return new HostState({
+			...this.deps,
+			regions: this.deps.settings.regions,
+			members: this.members,
+			lifecycle: this.lifecycle,
+			workerListener: {
+				onWorkerStart: id => {
+					this.#workers.onWorkerStart(id);
+				},
+				onWorkerRemoved: id => {
+					this.#workers.onWorkerRemoved(id);
+				},
+			},
+			onLimits: limits => {
+				this.#ingress.setLimits(limits);
+			},
+			announce: () => {
+				this.#heartbeats.send();
+			},
+		});
 	}
 
-	#onStateChange(): void {
-		const {table} = this.state;
-		if (!table) {
-			return;
-		}
+	#createWorkers(): WorkerService {
+		return new WorkerService({
+			...this.deps,
+			members: this.members,
+			state: this.state,
+			findSendingHosts: nowMs => this.#directory.findSendingHosts(nowMs),
+			sendReports: () => {
+				this.#heartbeats.sendReports();
+			},
+			onPathChange: () => {
+				this.#waitingRetrier.schedule();
+			},
+		});
+	}
 
-		this.#ingress.setLimits(table.config.limits);
-		if (this.state.isLoaded && this.lifecycle.phase === HostPhase.Loading) {
-			this.lifecycle.send(HostEvent.Loaded);
-			this.deps.log.info({event: 'ready', config: table.version, workers: this.state.fleet.size});
-			this.#heartbeats.send();
-		}
+	#createIngress(): Ingress {
+		return createIngress({
+			...this.deps,
+			retryBudget: this.deps.settings.retryBudget,
+			members: this.members,
+			state: this.state,
+			lifecycle: this.lifecycle,
+			load: this.#load,
+			workers: this.#workers,
+			peerPool: this.#peerPool,
+			attemptDurations: this.#attemptDurations,
+			shutdownDeadline: this.#shutdownDeadline,
+			reportInterval: this.#reportInterval,
+			waiting: this.#waiting,
+			running: this.#running,
+			onObjectSent: (worker, object) => {
+				this.#heartbeats.recordSentRequest(worker, object);
+			},
+			onCapacityFreed: () => {
+				this.#waitingRetrier.schedule();
+			},
+		});
 	}
 
-	/** Tells the other hosts that this one has lost its path to all workers, or reaches one again. */
-	#onIsolationChange(isIsolated: boolean): void {
-		this.#isolation.recordOwn(isIsolated);
-		this.#heartbeats.sendReports();
-		this.#waitingRetrier.schedule();
+	#createPeers(): PeerService {
+		return new PeerService({
+			...this.deps,
+			seeds: this.deps.settings.seeds,
+			members: this.members,
+			state: this.state,
+			load: this.#load,
+			objectCaches: this.#workers.statistics.objectCaches,
+			reports: this.#workers.reports.reports,
+			catchUp: this.#catchUp,
+			isReady: () => this.isReady,
+			isSourceFailing: () => this.#hostState.poller.isFailing,
+			reportInterval: this.#reportInterval,
+		});
 	}
 
-	/** Discards what is known of an earlier incarnation of a worker. */
-	#resetWorker(id: string): void {
-		this.#statistics.reset(id);
-		this.#workerAccess.health.reset(hashText(id));
+	#createStateReporter(): StateReporter {
+		const {statistics: {objectCaches, serviceTimes}, access: {reachability}, crashes} = this.#workers;
+		return new StateReporter({
+			...this.deps,
+			members: this.members,
+			state: this.state,
+			sourcePoller: this.#hostState.poller,
+			waiting: this.#waiting,
+			running: this.#running,
+			waitingRetrier: this.#waitingRetrier,
+			reachability,
+			crashes,
+			objectCaches,
+			serviceTimes,
+		});
 	}
 }
