--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -37,7 +37,8 @@
 	RequestForwarder, type ForwardableRequest, type RequestForwarderDeps, type PeerSender,
 } from './request/request-forwarder.js';
 export {CrashReports, decodeCrashes, encodeCrashes} from './peer/crash-reports.js';
-export {HeartbeatService, type HeartbeatServiceDeps, type CatchUpSource} from './peer/heartbeat-service.js';
+export {HeartbeatService, type HeartbeatServiceDeps} from './peer/heartbeat-service.js';
+export type {CatchUpSource} from './peer/state-follower.js';
 export {UdpChannel, type Address, type DatagramChannel} from './peer/channel.js';
 export {RelaySelector, type Recipients} from './peer/relays.js';
 export {RetryDetector} from './request/retry-detector.js';
