fix(daemon): a stop ends within the grace period and starts only what it can answer

Cause: the daemon did not know when it ends. It served everything until cached look-ups had expired, then waited for its requests in flight without an end: a request that never ends, a platform that does not reply (50 rounds of the release of units) or a connection without any request (Node's head timeout) held up the stop until the SIGKILL. Nothing that starts an attempt asked whether its end can be reached.

Change: `shutdown.graceMs` (default 30000 ms). From the signal on, or when a background task keeps failing or the host is replaced, `StopDeadline` says when requests end, and answers one question by the request's deadline alone: may it still be answered? `Admission.place` (first attempt, retry, hedge, grant to a waiting request), the wait for units, `Placer.place` and `Placer.forward` ask it. The answer no is the rejection `stopping`, not run, with `Connection: close`. What is in flight at the end is reset with a line `cut` each, at most 100; the release of units and the wait for connections end with the grace period too. A request is in flight until its response has been handed over to the network. A failed last lease renewal no longer skips the rest of the stop. A host that an operator drains has no end until it gets a signal.

Requests after the drain are rejected by the phase of the host alone, as before; its connections are closed from then on.

--- a/packages/daemon/src/host/components.ts
+++ b/packages/daemon/src/host/components.ts
@@ -20,12 +20,14 @@
 import {createPeerRouter} from '../peer/router.js';
 import {Admission} from '../request/admission.js';
 import {Dispatcher} from '../request/dispatcher.js';
+import {InFlightRequests} from '../request/in-flight-requests.js';
 import {RequestReader} from '../request/request-reader.js';
 import {DeduplicationGate} from '../request/deduplication.js';
 import {AttemptPolicies} from '../request/attempt-policies.js';
 import {Placer} from '../request/placer.js';
 import {Replier} from '../request/replier.js';
 import {StallDetector} from '../request/stall-detector.js';
+import {StopDeadline} from '../request/stop-deadline.js';
 import {OperatorApi} from '../server/operator.js';
 import {createHostServer} from '../server/server.js';
 import type {Settings} from '../settings/schema.js';
@@ -90,8 +92,10 @@
 	const workers = new WorkerRegistry({
 		clock, holdings, region: settings.region, stallMs: request.stallMs, log, metrics,
 	});
+	const stopDeadline = new StopDeadline();
+	const inFlight = new InFlightRequests();
 	const admission = new Admission({
-		clock, holdings, workers, region: settings.region, zone: settings.zone, ...request,
+		clock, holdings, workers, region: settings.region, zone: settings.zone, stopDeadline, ...request,
 	});
 	const auth = new PeerAuth(clusterKey, clock);
 	const signer = new TicketSigner(clusterKey);
@@ -136,9 +140,11 @@
 	const gate = new DeduplicationGate({
 		clock, memory, signer, claims: new ClaimRegistry(claimStore), hostId: settings.id, incarnation: identity.incarnation,
 	});
-	const replier = new Replier({log, metrics, peers: directory});
+	const replier = new Replier({
+		log, metrics, peers: directory, stopDeadline,
+	});
 	const requestDeps = {
-		clock, log, metrics, gate, replier, admission, pacings, peers: directory, stalls, maxBufferedBytes: request.maxBufferedBytes,
+		clock, log, metrics, gate, replier, admission, pacings, peers: directory, stalls, stopDeadline, maxBufferedBytes: request.maxBufferedBytes,
 	};
 	const placer = new Placer({
 		...requestDeps,
@@ -157,7 +163,7 @@
 		clock, auth, blocks: () => agreement.blocks, state: () => agreement.state,
 	});
 	const dispatcher = new Dispatcher({
-		...requestDeps, lifecycle, requestReader: intake, placer, demand, isLogFull: () => sink.isFull,
+		...requestDeps, lifecycle, requestReader: intake, placer, demand, inFlight, isLogFull: () => sink.isFull,
 	});
 	const server = createHostServer({
 		lifecycle,
@@ -189,6 +195,6 @@
 	});
 
 	return {
-		guard, feed, agreement, membership, ledger, workers, admission, pacings, demand, directory, dispatcher, gossip, fence, forwarder, peerClient, stalls, holdings, server,
+		guard, feed, agreement, membership, ledger, workers, admission, pacings, demand, directory, inFlight, stopDeadline, gossip, fence, forwarder, peerClient, stalls, holdings, server,
 	};
 }
--- a/packages/daemon/src/host/host.ts
+++ b/packages/daemon/src/host/host.ts
@@ -11,26 +11,31 @@
 import type {Identity} from './identity.js';
 import {assembleHost, type HostDeps, type HostComponents} from './components.js';
 import {HostEvent, HostLifecycle, HostPhase} from './phase.js';
+import {Shutdown, waitForAbort} from './shutdown.js';
+import {computeShutdownSchedule} from './shutdown-schedule.js';
 
 /** Time between two refreshes of the host directory, and before a failed release is retried, ms. */
 const REFRESH_INTERVAL_MS = 250;
 /** Time between two ticks of the fence, ms; it must tick at least once a second. */
 const PAUSE_CHECK_INTERVAL_MS = 250;
-/** Time between two checks for in-flight requests while the host drains, ms. */
-const DRAIN_POLL_INTERVAL_MS = 20;
 /** Time between two checks whether a snapshot is due, ms. */
 const SNAPSHOT_CHECK_INTERVAL_MS = 5000;
 /** Demand that changes by more than this factor is published before the next lease renewal is due. */
 const DEMAND_CHANGE_FACTOR = 1.5;
 /** Maximum number of ledger rounds for releasing all shares when the host stops. */
 const MAX_RELEASE_ROUNDS = 50;
+/** Time for connections without a request in flight to end when the host closes, ms. */
+const CLOSE_TIMEOUT_MS = 1000;
 
 /** An entry host: owns its components and runs them from startup to the end of a graceful shutdown. */
 export class Host {
 	readonly lifecycle: HostLifecycle;
 	readonly #identity: Identity;
 	readonly #components: HostComponents;
+	/** Aborted when the host is to end as after a stop signal. */
 	readonly #stopRequested = new AbortController();
+	/** Aborted when the host is to end after all requests in flight, however long. */
+	readonly #drainRequested = new AbortController();
 	#digestSeq = 0;
 	#lastDemand: Record<string, number> = {};
 	#lastLeaseWriteMs = Number.NEGATIVE_INFINITY;
@@ -91,7 +96,9 @@
 
 	/**
 	 * Serves until the signal is aborted, then shuts down gracefully: lookups stop
-	 * returning this host, in-flight requests finish, and all shares are released.
+	 * returning this host, in-flight requests finish before the end of the grace period,
+	 * and all shares are released. A host that an operator drains waits for them without
+	 * an end until the signal is aborted.
 	 * @throws the error of a background task that keeps failing, after the graceful shutdown.
 	 */
 	async run(signal: AbortSignal): Promise<void> {
@@ -102,12 +109,17 @@
 			failure = error as Error;
 			this.#stopRequested.abort();
 		});
-		await waitForAbort(AbortSignal.any([signal, this.#stopRequested.signal]));
-		await this.#drain();
+		const mustEnd = AbortSignal.any([signal, this.#stopRequested.signal]);
+		const shutdown = this.#createShutdown(mustEnd);
+		await waitForAbort(AbortSignal.any([mustEnd, this.#drainRequested.signal]));
+		await shutdown.drain();
 		stopChildren.abort();
-		await childrenDone;
-		await this.#releaseShares();
-		await this.#close();
+		await shutdown.runUntilExit(async () => childrenDone);
+		await this.#disconnectUpstreams();
+		await shutdown.runUntilExit(async exit => this.#releaseShares(exit));
+		await shutdown.runUntilExit(async exit => this.#closeServer(exit));
+		await this.#closeConnections();
+		this.deps.log.info({event: 'left', holdsUnits: this.#components.ledger.holdsUnits});
 		if (failure) {
 			throw failure;
 		}
@@ -274,7 +286,7 @@
 		this.#components.directory.refresh();
 		this.#components.admission.admitWaiters();
 		if (state.isDrained(DrainKind.Host, this.id)) {
-			this.#stopRequested.abort();
+			this.#drainRequested.abort();
 		}
 	}
 
@@ -308,7 +320,7 @@
 			metrics.gauge(`queue.${service}`, this.#components.admission.getQueue(service).length);
 		}
 
-		metrics.gauge('in-flight', this.#components.dispatcher.inFlight);
+		metrics.gauge('in-flight', this.#components.inFlight.size);
 		metrics.gauge('agreement.version', this.#components.agreement.state.version);
 		metrics.gauge('platform.reads', this.#components.guard.counts.reads);
 		metrics.gauge('platform.writes', this.#components.guard.counts.writes);
@@ -316,66 +328,76 @@
 		metrics.report();
 	}
 
-	/** Drains: lookups stop returning this host, which serves callers with a cached lookup result until it expires, then waits for in-flight requests. */
-	async #drain(): Promise<void> {
-		const {clock, settings} = this.deps;
-		this.lifecycle.send(HostEvent.Drain);
-		this.#components.directory.refresh();
-		if (this.lifecycle.phase === HostPhase.Draining) {
-			await this.#toleratePlatformErrors('lease', async () => this.#renewWithoutDemand());
-			await sleep(clock, settings.lookup.ttlMs);
-			this.lifecycle.send(HostEvent.AnswersExpired);
-		}
-
-		while (this.#components.dispatcher.inFlight > 0) {
-			await sleep(clock, DRAIN_POLL_INTERVAL_MS); // eslint-disable-line no-await-in-loop
-		}
+	#createShutdown(mustEnd: AbortSignal): Shutdown {
+		const {clock, log, settings} = this.deps;
+		const {inFlight, stopDeadline, admission, directory} = this.#components;
+		return new Shutdown({
+			clock,
+			log,
+			lifecycle: this.lifecycle,
+			inFlight,
+			deadline: stopDeadline,
+			schedule: computeShutdownSchedule(settings.shutdown.graceMs),
+			lookupTtlMs: settings.lookup.ttlMs,
+			rejectLate() {
+				admission.rejectLate();
+			},
+			announce: async () => {
+				directory.refresh();
+				await this.#renewWithoutDemand();
+			},
+		}, mustEnd);
 	}
 
+	/** Renews the lease without demand; no error keeps the host from ending. */
 	async #renewWithoutDemand(): Promise<void> {
-		await this.#writeLease({});
+		try {
+			await this.#toleratePlatformErrors('lease', async () => this.#writeLease({}));
+		} catch (error) {
+			this.deps.log.error({event: 'internal-error', message: (error as Error).stack});
+		}
 	}
 
 	/** Releases all shares and records that this host stopped. If the platform does not reply, the shares remain until other hosts can prove that this host is gone. */
-	async #releaseShares(): Promise<void> {
+	async #releaseShares(signal: AbortSignal): Promise<void> {
 		const {clock, log} = this.deps;
 		this.#components.ledger.releaseAll();
 		this.lifecycle.send(HostEvent.Idle);
-		for (let round = 0; round < MAX_RELEASE_ROUNDS && this.#components.ledger.holdsUnits; round++) {
+		for (let round = 0; round < MAX_RELEASE_ROUNDS && this.#components.ledger.holdsUnits && !signal.aborted; round++) {
 			try {
 				await this.#components.ledger.adjust(); // eslint-disable-line no-await-in-loop
 				await this.#components.feed.refresh(); // eslint-disable-line no-await-in-loop
 			} catch (error) {
 				log.warn({event: 'leave-delayed', reason: (error as Error).message});
-				await sleep(clock, REFRESH_INTERVAL_MS); // eslint-disable-line no-await-in-loop
+				await sleep(clock, REFRESH_INTERVAL_MS, signal); // eslint-disable-line no-await-in-loop
 			}
 		}
 
-		await this.#toleratePlatformErrors('lease', async () => this.#renewWithoutDemand());
-		log.info({event: 'left', holdsUnits: this.#components.ledger.holdsUnits});
+		if (!signal.aborted) {
+			await this.#renewWithoutDemand();
+		}
+	}
+
+	async #disconnectUpstreams(): Promise<void> {
+		await Promise.all([this.#components.workers.destroy(), this.#components.forwarder.destroy()]);
 	}
 
-	async #close(): Promise<void> {
+	/** Stops listening and waits until the connections have ended, for a limited time: one without any request ends by a timeout only. */
+	async #closeServer(signal: AbortSignal): Promise<void> {
+		const {server} = this.#components;
 		const closed = new Promise<void>(resolve => {
-			this.#components.server.close(() => {
+			server.close(() => {
 				resolve();
 			});
 		});
-		this.#components.server.closeIdleConnections();
-		await Promise.all([closed, this.#components.workers.close(), this.#components.forwarder.close(), this.#components.peerClient.close()]);
+		await Promise.race([closed, sleep(this.deps.clock, CLOSE_TIMEOUT_MS, signal)]);
 	}
-}
 
-async function waitForAbort(signal: AbortSignal): Promise<void> {
-	if (signal.aborted) {
-		return;
+	async #closeConnections(): Promise<void> {
+		const {server, peerClient} = this.#components;
+		server.closeAllConnections();
+		await peerClient.close();
 	}
-
-	await new Promise<void>(resolve => {
-		signal.addEventListener('abort', () => {
-			resolve();
-		}, {once: true});
-	});
 }
 
 /** Whether any group's demand changed by more than 1 unit and by more than `DEMAND_CHANGE_FACTOR`. */
--- a/packages/daemon/src/host/phase.ts
+++ b/packages/daemon/src/host/phase.ts
@@ -59,6 +59,11 @@
 		return this.phase === HostPhase.Ready || this.phase === HostPhase.Draining;
 	}
 
+	/** Whether the host serves no more requests, so that its callers are to use other connections. */
+	get isStopping(): boolean {
+		return this.phase === HostPhase.Stopping || this.phase === HostPhase.Stopped;
+	}
+
 	send(event: HostEvent): void {
 		this.#service.send(event);
 	}
--- a/packages/daemon/src/peer/forward.ts
+++ b/packages/daemon/src/peer/forward.ts
@@ -80,9 +80,9 @@
 		}
 	}
 
-	/** Closes all connection pools; requests in flight finish first. */
-	async close(): Promise<void> {
-		await Promise.all(Array.from(this.#pools.values(), async pool => pool.close()));
+	/** Closes all connections; requests in flight fail. */
+	async destroy(): Promise<void> {
+		await Promise.all(Array.from(this.#pools.values(), async pool => pool.destroy()));
 	}
 
 	#poolOf(peer: PeerAddress): Pool {
@@ -125,6 +125,7 @@
 			isPeer: true,
 		}, this);
 		this.#attempt = attempt;
+		ctx.attempts.push(attempt);
 		return new Promise(resolve => {
 			this.#resolve = resolve;
 			this.#deadlineTimer = this.options.clock.after(remainingMs, () => {
--- a/packages/daemon/src/request/admission.ts
+++ b/packages/daemon/src/request/admission.ts
@@ -13,6 +13,7 @@
 import type {WorkerRegistry} from '../upstream/worker-registry.js';
 import {RejectionCode, rejectRetryable, type Rejection} from './rejection.js';
 import type {RequestContext} from './context.js';
+import type {StopDeadline} from './stop-deadline.js';
 
 /** Worker and resource units reserved for one attempt. */
 export type Placement = {
@@ -45,6 +46,7 @@
 	readonly workers: WorkerRegistry;
 	readonly region: string;
 	readonly zone: string;
+	readonly stopDeadline: StopDeadline;
 	/** Maximum number of waiting requests per service. */
 	readonly maxQueue: number;
 	/** Maximum time in the queue, ms. */
@@ -55,6 +57,7 @@
 export class Admission {
 	readonly #queues = new Map<string, WaitQueue>();
 	#isAdmitting = false;
+	readonly #waiting = new Map<RequestContext, AbortController>();
 	/** Resource claims by caps and then by repeat policy and shift; the caps array identifies member, service and agreement version. */
 	readonly #claimCache = new WeakMap<readonly Cap[], Map<string, readonly ResourceClaim[]>>();
 	#policy: WorkerPolicy = createWorkerPolicy(Priority.Latency);
@@ -122,7 +125,12 @@
 	}
 
 	/** Reserves a worker that is not excluded and all claimed units for one attempt, without waiting. */
-	place(service: string, claims: readonly ResourceClaim[], excluded?: ReadonlySet<string>): PlacementResult {
+	place(ctx: RequestContext, claims: readonly ResourceClaim[], excluded?: ReadonlySet<string>): PlacementResult {
+		if (!this.options.stopDeadline.allows(ctx)) {
+			return {ok: false, blockedBy: RejectionCode.Stopping};
+		}
+
+		const service = ctx.service.name;
 		const nowMs = this.options.clock.now();
 		const choice = chooseWorker(this.#policy, this.#getCandidates(service, excluded), this.options.zone, nowMs);
 		const link = choice && this.options.workers.get(choice.name);
@@ -149,15 +157,36 @@
 
 	/** Waits in the service's queue until the request is placed or blocked by a member limit, its deadline or the maximum wait passes, or `signal` is aborted. */
 	async waitForPlacement(ctx: RequestContext, claims: readonly ResourceClaim[], signal: AbortSignal): Promise<PlacementResult> {
+		const {clock, stopDeadline} = this.options;
+		if (!stopDeadline.allows(ctx)) {
+			return {ok: false, blockedBy: RejectionCode.Stopping};
+		}
+
+		const late = new AbortController();
+		this.#waiting.set(ctx, late);
 		let lastResult: PlacementResult = {ok: false, blockedBy: NO_WORKER};
 		const queue = this.getQueue(ctx.service.name);
-		const remainingMs = ctx.deadlineAtMs - this.options.clock.monotonic();
+		const remainingMs = ctx.deadlineAtMs - clock.monotonic();
 		const result = await queue.wait(remainingMs, () => {
-			lastResult = this.place(ctx.service.name, claims);
+			lastResult = this.place(ctx, claims);
 			// A request blocked by its member's limit leaves the queue, so that it does not block the requests behind it.
 			return lastResult.ok || isMemberLimit(lastResult.blockedBy);
-		}, signal);
-		return result === WaitResult.Admitted ? lastResult : {ok: false, blockedBy: NO_WORKER};
+		}, AbortSignal.any([signal, late.signal]));
+		this.#waiting.delete(ctx);
+		if (result === WaitResult.Admitted) {
+			return lastResult;
+		}
+
+		return {ok: false, blockedBy: late.signal.aborted ? RejectionCode.Stopping : NO_WORKER};
+	}
+
+	/** Ends the wait of the requests that this host does not start any more. */
+	rejectLate(): void {
+		for (const [ctx, late] of this.#waiting) {
+			if (!this.options.stopDeadline.allows(ctx)) {
+				late.abort();
+			}
+		}
 	}
 
 	/** Returns the free units minus the waiting requests of a service; negative if there is a backlog. */
--- a/packages/daemon/src/request/context.ts
+++ b/packages/daemon/src/request/context.ts
@@ -3,6 +3,7 @@
 	AgreementState, Cap, Member, RepeatPolicy, Service, Shift,
 } from '@apricotwood/agreement';
 import type {ResourceClaim} from '@apricotwood/ledger';
+import type {Attempt} from '../upstream/attempt.js';
 import type {CallerHeaders} from './headers.js';
 
 /** A validated request and the properties that placement and execution use. */
@@ -29,6 +30,8 @@
 	readonly startedMs: number;
 	/** Deadline, monotonic ms. */
 	readonly deadlineAtMs: number;
+	/** Attempts at workers and other hosts, in the order of their starts. */
+	readonly attempts: Attempt[];
 };
 
 /** Resource claims of a request in addition to a worker's unit. */
--- a/packages/daemon/src/request/delivery.ts
+++ b/packages/daemon/src/request/delivery.ts
@@ -211,6 +211,7 @@
 			isPeer: false,
 		}, this);
 		this.#running.add(attempt, placement);
+		ctx.attempts.push(attempt);
 		this.#attempts++;
 		this.#isBodyConsumed ||= this.#isBodyStreamed;
 		placement.link.begin();
@@ -270,7 +271,7 @@
 			return false;
 		}
 
-		const result = this.deps.admission.place(this.ctx.service.name, this.claims, this.#excludedWorkers);
+		const result = this.deps.admission.place(this.ctx, this.claims, this.#excludedWorkers);
 		if (result.ok) {
 			this.#startRetry(result.placement, failure);
 		} else {
@@ -344,7 +345,7 @@
 		}
 
 		const excluded = new Set([...this.#excludedWorkers, ...this.#running.listWorkers()]);
-		const result = this.deps.admission.place(this.ctx.service.name, this.claims, excluded);
+		const result = this.deps.admission.place(this.ctx, this.claims, excluded);
 		if (!result.ok) {
 			return;
 		}
--- a/packages/daemon/src/request/dispatcher.ts
+++ b/packages/daemon/src/request/dispatcher.ts
@@ -10,9 +10,12 @@
 import {sendStoredResponse} from './response.js';
 import {BodyResult, hasBody, readBody, type BodyReadResult} from './body.js';
 import {Cancellation} from './cancellation.js';
-import {RejectionCode, rejectRetryable, rejectUnknown, rejectNotRun, type Rejection} from './rejection.js';
+import {
+	RejectionCode, rejectRetryable, rejectStopping, rejectUnknown, rejectNotRun, type Rejection,
+} from './rejection.js';
 import type {RequestContext} from './context.js';
 import {HeaderName} from './headers.js';
+import type {InFlightRequests} from './in-flight-requests.js';
 import type {RequestReader} from './request-reader.js';
 import {DeduplicationStep, type DeduplicationGate} from './deduplication.js';
 import type {AttemptPolicies} from './attempt-policies.js';
@@ -20,6 +23,7 @@
 import type {Placer} from './placer.js';
 import type {Replier} from './replier.js';
 import type {StallDetector} from './stall-detector.js';
+import type {StopDeadline} from './stop-deadline.js';
 
 /** Assumed run time of a request while no latency has been measured, ms. */
 const ASSUMED_LATENCY_MS = 100;
@@ -39,6 +43,8 @@
 	readonly replier: Replier;
 	readonly demand: DemandTracker;
 	readonly stalls: StallDetector;
+	readonly inFlight: InFlightRequests;
+	readonly stopDeadline: StopDeadline;
 	/** Maximum size of a buffered request body, bytes. */
 	readonly maxBufferedBytes: number;
 	/** Whether the log buffer is full. */
@@ -47,15 +53,8 @@
 
 /** Handles each request of a caller or peer until it has exactly one outcome. */
 export class Dispatcher {
-	#inFlight = 0;
-
 	constructor(private readonly deps: DispatcherDeps) {}
 
-	/** Number of requests that have not finished. */
-	get inFlight(): number {
-		return this.#inFlight;
-	}
-
 	/** Handles one request; resolves when it has finished. */
 	async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const rejection = this.#checkOpen();
@@ -75,7 +74,7 @@
 			res.setHeader(HeaderName.Room, room);
 		}
 
-		this.#inFlight++;
+		this.deps.inFlight.add(readResult.ctx);
 		const groups = getDemandGroups(readResult.ctx);
 		for (const group of groups) {
 			this.deps.demand.begin(group);
@@ -87,7 +86,7 @@
 			this.deps.log.error({event: 'internal-error', reqId: readResult.ctx.logId, message: (error as Error).stack});
 			this.deps.replier.reply(res, rejectUnknown(RejectionCode.Internal, 500, 'unexpected error; the request may have run'), readResult.ctx);
 		} finally {
-			this.#inFlight--;
+			this.deps.inFlight.finish(readResult.ctx);
 			this.#endDemand(groups, readResult.ctx);
 		}
 	}
@@ -150,6 +149,13 @@
 	}
 
 	async #serveLocally(ctx: RequestContext, cancellation: Cancellation): Promise<void> {
+		const needsDeduplication = this.deps.gate.needsBody(ctx) || (ctx.repeat === RepeatPolicy.Upload && ctx.headers.requestId !== undefined);
+		// Whether a request with an id has run before is known only after its body has been read.
+		if (!needsDeduplication && !this.deps.stopDeadline.allows(ctx)) {
+			this.deps.replier.reply(ctx.res, rejectStopping(), ctx);
+			return;
+		}
+
 		const readResult = await this.#readBody(ctx, cancellation);
 		if (readResult && readResult.result !== BodyResult.Complete) {
 			this.deps.replier.reply(ctx.res, this.#createBodyRejection(ctx, readResult), ctx);
@@ -158,7 +164,6 @@
 
 		const body = readResult ? readResult.body : (hasBody(ctx.req) ? ctx.req : undefined);
 		const claims = this.deps.placer.getClaims(ctx);
-		const needsDeduplication = this.deps.gate.needsBody(ctx) || (ctx.repeat === RepeatPolicy.Upload && ctx.headers.requestId !== undefined);
 		if (!needsDeduplication) {
 			await this.deps.placer.place(ctx, claims, body, cancellation, undefined);
 			return;
--- a/packages/daemon/src/request/placer.ts
+++ b/packages/daemon/src/request/placer.ts
@@ -9,7 +9,9 @@
 import type {ForwardResult, Forwarder, PeerAddress} from '../peer/forward.js';
 import {NO_WORKER, isMemberLimit, type Admission, type PlacementResult, type Placement} from './admission.js';
 import type {Cancellation} from './cancellation.js';
-import {RejectionCode, rejectRetryable, type Rejection} from './rejection.js';
+import {
+	RejectionCode, rejectRetryable, rejectStopping, type Rejection,
+} from './rejection.js';
 import type {RequestContext} from './context.js';
 import {Delivery, type DeliveryResult, type ExtraAttemptKind} from './delivery.js';
 import type {DeduplicationGate, DeduplicatedRun} from './deduplication.js';
@@ -17,6 +19,7 @@
 import type {PeerSelector} from './peers.js';
 import type {Replier} from './replier.js';
 import type {StallDetector} from './stall-detector.js';
+import type {StopDeadline} from './stop-deadline.js';
 
 /** Dependencies of {@link Placer}. */
 export type PlacerDeps = {
@@ -32,6 +35,7 @@
 	readonly peers: PeerSelector;
 	readonly stalls: StallDetector;
 	readonly replier: Replier;
+	readonly stopDeadline: StopDeadline;
 	readonly hostId: string;
 	readonly region: string;
 	/** Maximum size of a buffered request body and of a stored response, bytes. */
@@ -67,6 +71,11 @@
 		cancellation: Cancellation,
 		run: DeduplicatedRun | undefined,
 	): Promise<void> {
+		if (!this.deps.stopDeadline.allows(ctx)) {
+			this.#rejectRun(ctx, rejectStopping(), run);
+			return;
+		}
+
 		const placed = claims === undefined ? undefined : this.#tryPlace(ctx, claims);
 		if (placed?.ok && claims) {
 			await this.#deliver(ctx, claims, placed.placement, body, cancellation, run);
@@ -96,7 +105,7 @@
 
 		// Waiting requests have precedence.
 		const isQueued = admission.getQueue(ctx.service.name).length > 0;
-		return isQueued ? {ok: false, blockedBy: NO_WORKER} : admission.place(ctx.service.name, claims);
+		return isQueued ? {ok: false, blockedBy: NO_WORKER} : admission.place(ctx, claims);
 	}
 
 	async #waitAndDeliver(
@@ -126,7 +135,7 @@
 			return rejectRetryable(RejectionCode.Isolated, 'this host is isolated or has just resumed after a pause; try another host', 1000);
 		}
 
-		return this.deps.admission.createRejection(ctx.service, blockedBy);
+		return blockedBy === (RejectionCode.Stopping as string) ? rejectStopping() : this.deps.admission.createRejection(ctx.service, blockedBy);
 	}
 
 	async #deliver(
@@ -244,6 +253,10 @@
 
 	/** Forwards a request to one peer; resolves when the peer's response is complete or forwarding failed. */
 	async forward(ctx: RequestContext, peer: PeerAddress, body: Buffer | IncomingMessage | undefined, reason: string, cancellation: Cancellation): Promise<ForwardResult> {
+		if (!this.deps.stopDeadline.allows(ctx)) {
+			return {mayHaveReachedPeer: false, refusal: rejectStopping(), peerRoom: undefined};
+		}
+
 		this.deps.log.info({
 			event: 'forward', reqId: ctx.logId, service: ctx.service.name, member: ctx.member.name, peer: peer.id, reason,
 		});
--- a/packages/daemon/src/request/rejection.ts
+++ b/packages/daemon/src/request/rejection.ts
@@ -70,6 +70,11 @@
 	return rejectNotRun(code, code === RejectionCode.MemberCap || code === RejectionCode.MemberRate ? 429 : 503, message, Math.max(1, retryAfterMs));
 }
 
+/** Creates the rejection of a request that this host does not start any more before it stops. */
+export function rejectStopping(): Rejection {
+	return rejectRetryable(RejectionCode.Stopping, 'this host stops, possibly before the request would end; try another host', 1000);
+}
+
 /** Creates an error response for a request that may have run. */
 export function rejectUnknown(code: RejectionCode, status: number, message: string, retryAfterMs = 0): Rejection {
 	return {
--- a/packages/daemon/src/request/request-reader.ts
+++ b/packages/daemon/src/request/request-reader.ts
@@ -106,6 +106,7 @@
 			isForwarded: forwardNote !== undefined,
 			startedMs,
 			deadlineAtMs: startedMs + deadlineMs,
+			attempts: [],
 		};
 		return {ok: true, ctx};
 	}
--- a/packages/daemon/src/server/server.ts
+++ b/packages/daemon/src/server/server.ts
@@ -57,6 +57,7 @@
 	const currentResponses = new WeakMap<Socket, ServerResponse>();
 	server.prependListener('request', (req: IncomingMessage, res: ServerResponse) => {
 		currentResponses.set(req.socket, res);
+		res.shouldKeepAlive &&= !deps.lifecycle.isStopping;
 	});
 	server.on('connection', (socket: Socket) => {
 		// Each request on the connection listens for its end, and a caller may pipeline many.
--- a/packages/daemon/src/settings/schema.ts
+++ b/packages/daemon/src/settings/schema.ts
@@ -91,6 +91,11 @@
 	fenceMs: durationMsSchema.default(20_000),
 });
 
+const shutdownSchema = z.strictObject({
+	/** Time from the stop signal to the end of the process, after which the platform ends it, ms. @default 30000 */
+	graceMs: durationMsSchema.min(1000, 'must be 1000 or more').default(30_000),
+});
+
 /** Schema of the settings file, with the defaults. */
 export const settingsSchema = z.strictObject({
 	/** Id of the host; unique in the deployment. */
@@ -110,6 +115,7 @@
 	lookup: lookupSchema.prefault({}),
 	request: requestSchema.prefault({}),
 	control: controlSchema.prefault({}),
+	shutdown: shutdownSchema.prefault({}),
 });
 
 /** A host's settings, validated and with defaults applied. */
--- a/packages/daemon/src/upstream/worker-registry.ts
+++ b/packages/daemon/src/upstream/worker-registry.ts
@@ -75,10 +75,10 @@
 		return free;
 	}
 
-	/** Closes all connections after in-flight requests have finished. */
-	async close(): Promise<void> {
+	/** Closes all connections; requests in flight fail. */
+	async destroy(): Promise<void> {
 		const links = [...this.#byName.values(), ...this.#removed];
-		await Promise.all(links.map(async link => link.pool.close()));
+		await Promise.all(links.map(async link => link.pool.destroy()));
 	}
 
 	#applyWorker(worker: Worker, state: AgreementState): void {
--- a/test/settings/settings.test.ts
+++ b/test/settings/settings.test.ts
@@ -34,6 +34,7 @@
 	['an unknown key in a nested object', {lookup: {ttl: 5}}, ['lookup.ttl']],
 	['a duration that is not an integer', {request: {maxWaitMs: 0.5}}, ['request.maxWaitMs']],
 	['a fence time not longer than the isolation time', {control: {isolationMs: 9000, fenceMs: 9000}}, ['control.fenceMs']],
+	['a grace period too short for a drain', {shutdown: {graceMs: 999}}, ['shutdown.graceMs']],
 	['a ticket that can expire before a cached answer', {lookup: {ttlMs: 5000, ticketTtlMs: 5000}}, ['lookup.ticketTtlMs']],
 	['a platform origin without a cluster key', {platform: {origin: 'http://192.0.2.1:80'}}, ['clusterKey']],
 	['a platform origin with a host name', {platform: {origin: 'http://store.example'}}, ['platform.origin']],
