fix(daemon): a host that stops does not call a repeat of an id "not run"

Callers saw a repeat of a request id, with its ticket, rejected as `stopping` with the outcome `not-run` by the host that had run it. The contract says that such a request may be sent again, also with another ticket: it then runs twice.

Cause: a host that accepts no requests (`stopping`, `log-backlog`) rejects before it reads the request id, and always as not run.

Change: with an id, and unless the request is idempotent, the outcome of these rejections is `unknown`. Without an id nothing changes.

--- a/packages/daemon/src/request/dispatcher.ts
+++ b/packages/daemon/src/request/dispatcher.ts
@@ -59,7 +59,7 @@
 	async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const rejection = this.#checkOpen();
 		if (rejection) {
-			this.deps.replier.reply(res, rejection, undefined);
+			this.deps.replier.reply(res, this.#mayHaveRunBefore(req, res) ? {...rejection, outcome: Outcome.Unknown} : rejection, undefined);
 			return;
 		}
 
@@ -120,6 +120,16 @@
 		return this.deps.isLogFull() ? rejectRetryable(RejectionCode.LogBacklog, 'the log buffer is full; try another host', 1000) : undefined;
 	}
 
+	/** Whether an earlier request with the same id may have run; its record is not looked up. */
+	#mayHaveRunBefore(req: IncomingMessage, res: ServerResponse): boolean {
+		if (req.headers[HeaderName.RequestId] === undefined) {
+			return false;
+		}
+
+		const readResult = this.deps.requestReader.read(req, res);
+		return readResult.ok && readResult.ctx.repeat !== RepeatPolicy.Idempotent;
+	}
+
 	async #serve(ctx: RequestContext): Promise<void> {
 		const decision = this.deps.gate.checkTicket(ctx);
 		if (decision.step === DeduplicationStep.Reject) {
--- a/test/faults/grace-period.test.ts
+++ b/test/faults/grace-period.test.ts
@@ -129,6 +129,18 @@
 	});
 });
 
+test('a repeat of an id that has run is not rejected as not run by the host that ran it, once it has stopped', async () => {
+	await withRig({settings: {...SETTINGS, lookup: {ttlMs: 50, ticketTtlMs: 60_000}}}, async rig => {
+		const booking = {method: 'POST', path: '/s/desk/late', body: 'x', headers: {...HEADERS, 'apricotwood-request-id': 'a', 'apricotwood-ticket': await rig.ticket('desk')}};
+		assert.equal((await sendRequest(rig.port, booking)).status, 200);
+		const stopped = stopInTime(rig);
+		await waitUntil(() => rig.logLines.some(({phase}) => phase === 'stopped'));
+		await assertRejected(rig.port, booking, 'unknown');
+		await assertRejected(rig.port, {...booking, path: '/s/board/x', method: 'GET'});
+		assert.equal(await stopped, true);
+	});
+});
+
 test('a background task that keeps failing ends the host by the same drain, with an end for requests in flight', async () => {
 	const rig = await Rig.start({settings: SETTINGS});
 	rig.worker('locker-1').behaviours = [Behaviour.Silent];
