daemon: the steps of a host's end after its last request are a class of their own

Behaviour is unchanged; faults, path, hosts, once, agreement, ledger, settings and programs: 158 of 158 pass, two files at once.

--- a/packages/daemon/src/host/host.ts
+++ b/packages/daemon/src/host/host.ts
@@ -10,11 +10,12 @@
 import {Prober} from '../upstream/probe.js';
 import type {Identity} from './identity.js';
 import {assembleHost, type HostDeps, type HostComponents} from './components.js';
+import {Departure} from './departure.js';
 import {HostEvent, HostLifecycle, HostPhase} from './phase.js';
 import {Shutdown, waitForAbort} from './shutdown.js';
 import {computeShutdownSchedule} from './shutdown-schedule.js';
 
-/** Time between two refreshes of the host directory, and before a failed release is retried, ms. */
+/** Time between two refreshes of the host directory, ms. */
 const REFRESH_INTERVAL_MS = 250;
 /** Time between two ticks of the fence, ms; it must tick at least once a second. */
 const PAUSE_CHECK_INTERVAL_MS = 250;
@@ -22,10 +23,6 @@
 const SNAPSHOT_CHECK_INTERVAL_MS = 5000;
 /** Demand that changes by more than this factor is published before the next lease renewal is due. */
 const DEMAND_CHANGE_FACTOR = 1.5;
-/** Maximum number of ledger rounds for releasing all shares when the host stops. */
-const MAX_RELEASE_ROUNDS = 50;
-/** Time for connections without a request in flight to end when the host closes, ms. */
-const CLOSE_TIMEOUT_MS = 1000;
 
 /** An entry host: owns its components and runs them from startup to the end of a graceful shutdown. */
 export class Host {
@@ -114,11 +111,12 @@
 		await waitForAbort(AbortSignal.any([mustEnd, this.#drainRequested.signal]));
 		await shutdown.drain();
 		stopChildren.abort();
+		const departure = this.#createDeparture();
 		await shutdown.runUntilExit(async () => childrenDone);
-		await this.#disconnectUpstreams();
-		await shutdown.runUntilExit(async exit => this.#releaseShares(exit));
-		await shutdown.runUntilExit(async exit => this.#closeServer(exit));
-		await this.#closeConnections();
+		await departure.disconnectUpstreams();
+		await shutdown.runUntilExit(async exit => departure.releaseShares(exit));
+		await shutdown.runUntilExit(async exit => departure.closeServer(exit));
+		await departure.closeConnections();
 		this.deps.log.info({event: 'left', holdsUnits: this.#components.ledger.holdsUnits});
 		if (failure) {
 			throw failure;
@@ -349,6 +347,13 @@
 		}, mustEnd);
 	}
 
+	#createDeparture(): Departure {
+		const {clock, log} = this.deps;
+		return new Departure({
+			...this.#components, clock, log, lifecycle: this.lifecycle, renewLease: async () => this.#renewWithoutDemand(),
+		});
+	}
+
 	/** Renews the lease without demand; no error keeps the host from ending. */
 	async #renewWithoutDemand(): Promise<void> {
 		try {
@@ -357,47 +362,6 @@
 			this.deps.log.error({event: 'internal-error', message: (error as Error).stack});
 		}
 	}
-
-	/** Releases all shares and records that this host stopped. If the platform does not reply, the shares remain until other hosts can prove that this host is gone. */
-	async #releaseShares(signal: AbortSignal): Promise<void> {
-		const {clock, log} = this.deps;
-		this.#components.ledger.releaseAll();
-		this.lifecycle.send(HostEvent.Idle);
-		for (let round = 0; round < MAX_RELEASE_ROUNDS && this.#components.ledger.holdsUnits && !signal.aborted; round++) {
-			try {
-				await this.#components.ledger.adjust(); // eslint-disable-line no-await-in-loop
-				await this.#components.feed.refresh(); // eslint-disable-line no-await-in-loop
-			} catch (error) {
-				log.warn({event: 'leave-delayed', reason: (error as Error).message});
-				await sleep(clock, REFRESH_INTERVAL_MS, signal); // eslint-disable-line no-await-in-loop
-			}
-		}
-
-		if (!signal.aborted) {
-			await this.#renewWithoutDemand();
-		}
-	}
-
-	async #disconnectUpstreams(): Promise<void> {
-		await Promise.all([this.#components.workers.destroy(), this.#components.forwarder.destroy()]);
-	}
-
-	/** Stops listening and waits until the connections have ended, for a limited time: one without any request ends by a timeout only. */
-	async #closeServer(signal: AbortSignal): Promise<void> {
-		const {server} = this.#components;
-		const closed = new Promise<void>(resolve => {
-			server.close(() => {
-				resolve();
-			});
-		});
-		await Promise.race([closed, sleep(this.deps.clock, CLOSE_TIMEOUT_MS, signal)]);
-	}
-
-	async #closeConnections(): Promise<void> {
-		const {server, peerClient} = this.#components;
-		server.closeAllConnections();
-		await peerClient.close();
-	}
 }
 
 /** Whether any group's demand changed by more than 1 unit and by more than `DEMAND_CHANGE_FACTOR`. */
