feat(soak): stops under calls of all durations, all hosts in turn, judged by the rule

Why: a host that starts requests by an estimate of their duration passed `host-stop-long-calls`, as the calls took as long before a stop as during it, and `stop` excused whatever met any fault of the host or worker, or 3 s after.

What: - The callers of a host that is stopped draw durations from 10 ms to 3.1 s, long ones rare at first and frequent from a moment after the signal on; routes with and without a timeout, timeouts of 1.4 to 8 s, bodies to 1.5 MB; connections that are kept, fresh, idle since before the signal, or opened and not used yet; from before the signal until the process is gone. - `host-stops-in-turn` stops all hosts, overlapping. Both kinds send further SIGTERM, SIGINT and SIGHUP in the grace period. A fault of the store, one that ended before the call, or one that breaks nothing off (sheds, fails, slow, a delayed link) excuses nothing any more. The assertion of the promises test with a fault that had ended 0.9 s before the call is replaced: such a fault does not excuse, one during the call does. - A second signal to a host that is being stopped is no stop of its own. - The share of first attempts served around stops in turn is printed. - A call on a connection that the host had ended before was waited for to the end of its time, as nothing is read from such a connection; it is over at once now.

--- a/packages/soak/src/call-sender.ts
+++ b/packages/soak/src/call-sender.ts
@@ -12,16 +12,8 @@
 /** A call without a response for this much longer than its timeout counts as hung, ms. */
 const HUNG_MARGIN_MS = 2500;
 
-/** How a call is sent. */
-export type SendOptions = {
-	/** Timeout that the caller announces, ms. */
-	readonly timeoutMs: number;
-	/** Time after which the caller cancels the call on purpose, ms; `undefined` if it does not. */
-	readonly givesUpAfterMs: number | undefined;
-};
-
 /** Creates the record of a call that is about to be sent. */
-export function createCall({id, kind, host, url, bytes}: Pick<Call, 'id' | 'kind' | 'host' | 'url' | 'bytes'>): Call {
+export function createCall({id, kind, host, url, bytes, timeoutMs}: Pick<Call, 'id' | 'kind' | 'host' | 'url' | 'bytes' | 'timeoutMs'>): Call {
 	return {
 		id,
 		kind,
@@ -30,6 +22,7 @@
 		url,
 		bytes,
 		digest: createHash('md5').update(createBody(bytes)).digest('hex'),
+		timeoutMs,
 		sentAtMs: Date.now(),
 		end: CallEnd.Hung,
 		endAtMs: 0,
@@ -40,13 +33,13 @@
 	};
 }
 
-/** Sends a call to `IP:port` and waits for its end, which is recorded in the call. @returns whether the connection can be reused. */
-export async function sendCall(call: Call, address: string, agent: Agent, {timeoutMs, givesUpAfterMs}: SendOptions): Promise<boolean> {
+/** Sends a call to `IP:port` and waits for its end, which is recorded in the call. @param givesUpAfterMs time after which the caller cancels the call on purpose, ms; `undefined` if it does not. @returns whether the connection can be reused. */
+export async function sendCall(call: Call, address: string, agent: Agent, givesUpAfterMs?: number): Promise<boolean> {
 	const [ip, port] = address.split(':');
 	return new Promise(resolve => {
 		const req = request({
 			host: ip, port, path: call.url, method: call.method, agent, headers: {
-				...createCallerHeaders(call.id, timeoutMs, call.url.split('?')[0]!), 'content-length': call.bytes,
+				...createCallerHeaders(call.id, call.timeoutMs, call.url.split('?')[0]!), 'content-length': call.bytes,
 			},
 		});
 		const finish = (end: CallEnd, isReusable: boolean) => {
@@ -61,7 +54,7 @@
 		const timer = setTimeout(() => {
 			finish(givesUpAfterMs === undefined ? CallEnd.Hung : CallEnd.GaveUp, false);
 			req.destroy();
-		}, givesUpAfterMs ?? timeoutMs + HUNG_MARGIN_MS);
+		}, givesUpAfterMs ?? call.timeoutMs + HUNG_MARGIN_MS);
 		observeResponse(req, call, finish);
 		req.end(createBody(call.bytes));
 	});
@@ -72,6 +65,13 @@
 	let wasReset = Promise.resolve(false);
 	req.on('socket', assigned => {
 		socket = assigned;
+		if (assigned.readableEnded) {
+			// The host had ended the connection before; nothing is read from it any more, not even a reset.
+			finish(CallEnd.NoAnswer, false);
+			req.destroy();
+			return;
+		}
+
 		const onEnd = () => {
 			wasReset = wasResetAtEnd(assigned);
 		};
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -3,7 +3,6 @@
 import type {Random} from '@apricotwood/clock';
 import {fetchHostAddresses} from '@apricotwood/platform/standin';
 import {createCall, sendCall} from './call-sender.js';
-import {CALL_TIMEOUT_MS} from './promises.js';
 import {CallKind, type Call} from './records.js';
 import {REGIONS, type SoakEnvironment} from './environment.js';
 
@@ -11,6 +10,8 @@
 const CALLER_COUNT = 24;
 /** Mean pause of a caller between two calls, and its pause after a failed lookup of a host, ms. */
 const MEAN_PAUSE_MS = 60;
+/** Timeout that callers announce, ms. */
+const CALL_TIMEOUT_MS = 1400;
 /** Number of different objects in the URLs, which are also the affinity keys. */
 const OBJECT_COUNT = 60;
 /** Lengths of request bodies to choose from. */
@@ -80,8 +81,7 @@
 			const call = this.#createCall(host.options.id);
 			this.environment.records.calls.push(call);
 			const givesUp = this.random.next() < GIVE_UP_RATIO;
-			const options = {timeoutMs: CALL_TIMEOUT_MS, givesUpAfterMs: givesUp ? 10 + (50 * this.random.next()) : undefined};
-			const isReusable = await sendCall(call, link.address, agent, options); // eslint-disable-line no-await-in-loop
+			const isReusable = await sendCall(call, link.address, agent, givesUp ? 10 + (50 * this.random.next()) : undefined); // eslint-disable-line no-await-in-loop
 			await pause(MEAN_PAUSE_MS * 2 * this.random.next()); // eslint-disable-line no-await-in-loop
 			if (!isReusable) {
 				break;
@@ -105,6 +105,7 @@
 			host,
 			url: kind === CallKind.Read && crashing && random.next() < CRASHING_RATIO ? crashing.url : `${prefix}o${Math.floor(random.next() * OBJECT_COUNT)}?filler=${pick(FILLER_CHARS)}`,
 			bytes,
+			timeoutMs: CALL_TIMEOUT_MS,
 		});
 	}
 }
--- a/packages/soak/src/environment.ts
+++ b/packages/soak/src/environment.ts
@@ -7,11 +7,13 @@
 } from '@apricotwood/platform/standin';
 import {WORKER_IP_VARIABLE} from './build.js';
 import {HostProcess, STOP_TIMEOUT_MS} from './host.js';
+import {HostStops} from './host-stops.js';
 import {FaultKind} from './plan.js';
 import {Link} from './proxy.js';
+import {createLongRoutes} from './routes.js';
 import {CRASHING_PATH, WorkerEndpoint} from './worker-endpoint.js';
 import {
-	createRecords, type ChangeNotice, type CrashingRequest, type Disturbance, type Period, type SoakRecords,
+	createRecords, type ChangeNotice, type CrashingRequest, type Disturbance, type HostStop, type Period, type SoakRecords,
 } from './records.js';
 
 /** Size and files of an environment. */
@@ -32,8 +34,8 @@
 export const REGIONS: Readonly<Record<string, string>> = {a1: 'a', a2: 'a', b1: 'b'};
 const SERVICES = ['board', 'desk'] as const;
 const WORKERS_PER_SERVICE = 4;
-/** Route of `CallKind.Long`, in the order of `createOperatorConfig`; it has no timeout. */
-const LONG_ROUTE = ['long', 'a.example', '/long/', 'upload', null, '600ms', 1, SERVICES[0], 2, true, [], null] as const; // eslint-disable-line unicorn/no-null
+/** Routes for calls that take up to seconds. */
+const LONG_ROUTES = createLongRoutes(SERVICES[0]);
 /** Time limit for all hosts to become ready after the start, ms. */
 const START_TIMEOUT_MS = 30_000;
 /** Time limit for all hosts to become ready after the last fault, ms. */
@@ -65,8 +67,11 @@
 	readonly #hostIdByLinkIp = new Map<string, string>();
 	/** Ends the record of each host that runs the earlier build. */
 	readonly #endsOfOldBuilds = new Map<string, () => void>();
+	readonly hostStops = new HostStops(this);
+	/** Stops and starts of hosts that are in progress. */
+	readonly #restarts = new Map<HostProcess, Promise<void>>();
 	#configVersion = 1;
-	readonly #extraRoutes: Array<readonly unknown[]> = [LONG_ROUTE];
+	readonly #extraRoutes: Array<readonly unknown[]> = [...LONG_ROUTES];
 
 	constructor(private readonly options: EnvironmentOptions) {}
 
@@ -101,7 +106,7 @@
 
 	/** Adds a route to the configuration. @returns its path prefix. */
 	addRoute(): string {
-		const name = `new${this.#extraRoutes.length - 1}`;
+		const name = `new${this.#extraRoutes.length - LONG_ROUTES.length}`;
 		this.#extraRoutes.push(createIdempotentRoute(name, 'desk'));
 		this.#writeConfig();
 		return `/${name}/`;
@@ -123,10 +128,10 @@
 		}
 	}
 
-	/** Records the start of a disturbance; the caller sets its end. */
-	recordDisturbance(kind: FaultKind, subject: string): Disturbance {
+	/** Records the start of a disturbance; the caller sets its end. @param endsCalls see `Disturbance`. */
+	recordDisturbance(kind: FaultKind, subject: string, endsCalls = false): Disturbance {
 		const disturbance = {
-			kind, subject, fromMs: Date.now(), untilMs: Number.POSITIVE_INFINITY,
+			kind, subject, endsCalls, fromMs: Date.now(), untilMs: Number.POSITIVE_INFINITY,
 		};
 		this.records.disturbances.push(disturbance);
 		return disturbance;
@@ -162,7 +167,7 @@
 
 	/** Records that a worker is down. @returns a function that ends it. */
 	#recordCrash(worker: string): () => void {
-		const disturbance = this.recordDisturbance(FaultKind.CrashingRequest, worker);
+		const disturbance = this.recordDisturbance(FaultKind.CrashingRequest, worker, true);
 		return () => {
 			disturbance.untilMs = Date.now();
 		};
@@ -177,9 +182,23 @@
 		return notice;
 	}
 
-	/** Stops a host by SIGTERM, as operators do, and starts it again after its exit, with the other build if there are two. Kills it if it does not exit in time. */
+	/** Stops a host by SIGTERM, as operators do, and starts it again after its exit, with the other build if there are two. Kills it if it does not exit in time. A host that is being stopped gets another signal. */
 	async restartHost(host: HostProcess): Promise<void> {
-		const stop: SoakRecords['stops'][number] = {host: host.options.id, atMs: Date.now(), endAtMs: undefined};
+		const running = this.#restarts.get(host);
+		if (running) {
+			host.sendSignal('SIGTERM');
+			await running;
+			return;
+		}
+
+		const restart = this.#restart(host);
+		this.#restarts.set(host, restart);
+		await restart;
+		this.#restarts.delete(host);
+	}
+
+	async #restart(host: HostProcess): Promise<void> {
+		const stop: HostStop = {host: host.options.id, atMs: Date.now(), endAtMs: undefined};
 		this.records.stops.push(stop);
 		host.sendSignal('SIGTERM');
 		if (await host.waitForExit(STOP_TIMEOUT_MS)) {
--- a/packages/soak/src/fault-injection.ts
+++ b/packages/soak/src/fault-injection.ts
@@ -1,7 +1,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
+import {SeededRandom, type Random} from '@apricotwood/clock';
 import {FakeStoreMode, WorkerFault} from '@apricotwood/platform/standin';
 import type {HostProcess} from './host.js';
-import {LongCallers} from './long-calls.js';
 import {ODD_WRITERS} from './odd-entries.js';
 import {FaultKind, type Fault} from './plan.js';
 import {STORE_SUBJECT} from './promises.js';
@@ -16,6 +16,10 @@
 	WorkerFault.Reject, WorkerFault.Reset, WorkerFault.NoResponse, WorkerFault.Unframed, WorkerFault.Truncate, WorkerFault.ExtraResponse, WorkerFault.Slow, WorkerFault.ServerError, WorkerFault.UnframedReset,
 ] as const;
 
+/** Faults with which a worker breaks off what it has run. */
+const CUTTING_FAULTS: ReadonlySet<WorkerFault> = new Set([
+	WorkerFault.Reset, WorkerFault.NoResponse, WorkerFault.Truncate, WorkerFault.UnframedReset, WorkerFault.CutHead, WorkerFault.EndlessHead, WorkerFault.EndlessBody,
+]);
 /** Variants of `FaultKind.WorkerEndless`. */
 const ENDLESS_FAULTS = [WorkerFault.EndlessHead, WorkerFault.EndlessBody] as const;
 /** Bounds of the limits that workers name, requests per second. */
@@ -38,14 +42,18 @@
 type FaultInjector = (environment: SoakEnvironment, fault: Fault) => Promise<void>;
 
 const INJECTORS: Readonly<Record<FaultKind, FaultInjector>> = {
-	[FaultKind.HostKill]: async (environment, fault) => disturbHost(environment, fault, async host => {
+	[FaultKind.HostKill]: async (environment, fault) => cutHost(environment, fault, async host => {
 		host.sendSignal('SIGKILL');
 		await pause(fault.forMs);
 		host.start();
 	}),
-	[FaultKind.HostStop]: async (environment, fault) => disturbHost(environment, fault, async host => environment.restartHost(host)),
-	[FaultKind.HostStopLongCalls]: stopDuringLongCalls,
-	[FaultKind.HostPause]: async (environment, fault) => disturbHost(environment, fault, async host => {
+	async [FaultKind.HostStop](environment, fault) {
+		const host = selectHost(environment, fault);
+		await withDisturbance(environment, fault, host.options.id, async () => environment.restartHost(host));
+	},
+	[FaultKind.HostStopLongCalls]: async (environment, fault) => environment.hostStops.stop(selectHost(environment, fault), createRandom(fault)),
+	[FaultKind.HostStopsInTurn]: async (environment, fault) => environment.hostStops.stopInTurn(createRandom(fault)),
+	[FaultKind.HostPause]: async (environment, fault) => cutHost(environment, fault, async host => {
 		host.sendSignal('SIGSTOP');
 		await pause(fault.forMs);
 		host.sendSignal('SIGCONT');
@@ -128,9 +136,15 @@
 	return pick(environment.workerEndpoints, target);
 }
 
-async function disturbHost(environment: SoakEnvironment, fault: Fault, run: (host: HostProcess) => Promise<void>): Promise<void> {
+/** Kills or pauses a host. */
+async function cutHost(environment: SoakEnvironment, fault: Fault, run: (host: HostProcess) => Promise<void>): Promise<void> {
 	const host = selectHost(environment, fault);
-	await withDisturbance(environment, fault, host.options.id, async () => run(host));
+	await withDisturbance(environment, fault, host.options.id, async () => run(host), true);
+}
+
+/** Random numbers for what a fault draws itself. */
+function createRandom({how}: Fault): Random {
+	return new SeededRandom(Math.floor(how * (2 ** 32)));
 }
 
 async function setStoreMode(environment: SoakEnvironment, fault: Fault, mode: FakeStoreMode): Promise<void> {
@@ -185,16 +199,6 @@
 	}
 }
 
-/** Stops a host while callers send it uploads that take seconds. */
-async function stopDuringLongCalls(environment: SoakEnvironment, fault: Fault): Promise<void> {
-	const host = selectHost(environment, fault);
-	await withDisturbance(environment, {...fault, kind: FaultKind.HostStop}, host.options.id, async () => {
-		const callers = new LongCallers(environment, host);
-		await callers.open();
-		await Promise.all([callers.send(fault.how), environment.restartHost(host)]);
-	});
-}
-
 /** Writes an entry that cannot be used among those of the workers or hosts; that of a worker is removed after the duration of the fault. */
 async function leaveOddEntry({store}: SoakEnvironment, fault: Fault): Promise<void> {
 	const id = `odd-${fault.atMs}`;
@@ -213,7 +217,7 @@
 		await pause(fault.forMs);
 		endpoint.servingWorker = endpoint.worker;
 		endpoint.links.resetConnections();
-	});
+	}, true);
 }
 
 async function failWorker(environment: SoakEnvironment, fault: Fault, workerFault: WorkerFault): Promise<void> {
@@ -222,7 +226,7 @@
 		worker.fault = workerFault;
 		await pause(fault.forMs);
 		worker.fault = WorkerFault.None;
-	});
+	}, CUTTING_FAULTS.has(workerFault));
 }
 
 /** Makes a worker name a limit for the duration of the fault, unless it names one already. */
@@ -273,16 +277,17 @@
 }
 
 async function disturbLink(environment: SoakEnvironment, fault: Fault, link: Pick<Link, 'startFault'>, subject: string): Promise<void> {
+	const state = pick(LINK_FAULTS, fault.how);
 	await withDisturbance(environment, fault, subject, async () => {
-		const endFault = link.startFault(pick(LINK_FAULTS, fault.how));
+		const endFault = link.startFault(state);
 		await pause(fault.forMs);
 		endFault();
-	});
+	}, fault.kind !== FaultKind.StoreLink && state !== LinkState.Delayed);
 }
 
-/** Records a disturbance of the subject for as long as `run` takes. */
-async function withDisturbance(environment: SoakEnvironment, {kind}: Fault, subject: string, run: () => Promise<void>): Promise<void> {
-	const disturbance = environment.recordDisturbance(kind, subject);
+/** Records a disturbance of the subject for as long as `run` takes. @param endsCalls see `Disturbance`. */
+async function withDisturbance(environment: SoakEnvironment, {kind}: Fault, subject: string, run: () => Promise<void>, endsCalls = false): Promise<void> {
+	const disturbance = environment.recordDisturbance(kind, subject, endsCalls);
 	await run();
 	disturbance.untilMs = Date.now();
 }
--- a/packages/soak/src/host.ts
+++ b/packages/soak/src/host.ts
@@ -106,8 +106,8 @@
 	}
 
 	/** Sends a signal to the process; does nothing if it is not running. */
-	sendSignal(name: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
-		if (name === 'SIGTERM' || name === 'SIGKILL') {
+	sendSignal(name: 'SIGTERM' | 'SIGINT' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGHUP'): void {
+		if (name === 'SIGTERM' || name === 'SIGINT' || name === 'SIGKILL') {
 			this.#isExitExpected = true;
 		}
 
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -8,6 +8,7 @@
 import {BREAKAGES} from './breakages.js';
 import {countUncompared} from './isolation.js';
 import {FaultKind} from './plan.js';
+import {countServedAroundStops, type ServedShare} from './served-shares.js';
 import {runSoak} from './soak.js';
 
 const USAGE = `npm run soak -- [--seed N] [--seeds COUNT] [--minutes M] [--hosts N] [--kinds A,B] [--untimed] [--regressions] [--break NAME] [--old COMMIT] [--logs DIR]
@@ -99,6 +100,10 @@
 	}
 }
 
+function describeShare({served, total}: ServedShare): string {
+	return `${served} of ${total}${total === 0 ? '' : ` (${(served / total).toFixed(3)})`}`;
+}
+
 async function runJob({seed, minutes, hosts, kinds, cause}: SoakJob, program: string, oldProgram: string | undefined): Promise<boolean> {
 	if (cause !== undefined) {
 		console.log(`seed ${seed} failed before: ${cause}`);
@@ -116,6 +121,10 @@
 		console.log(`  isolated: ${uncomparedCount} periods not compared, as there were no calls at undisturbed hosts that reached workers`);
 	}
 
+	for (const {during, before} of countServedAroundStops(records)) {
+		console.log(`  stops in turn: ${describeShare(during)} first attempts served from 1 s before to the end, ${describeShare(before)} in the 10 s before`);
+	}
+
 	if (breaches.length === 0) {
 		return true;
 	}
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -1,6 +1,6 @@
 import type {Random} from '@apricotwood/clock';
 
-/** Kinds of faults. Each is undone after its duration, except `HostStop`, `HostReload`, `StoreForgets` and `ConfigChange`, which have no duration. */
+/** Kinds of faults. Each is undone after its duration, except the stops of hosts, `HostReload`, `StoreForgets` and `ConfigChange`, which have no duration. */
 export enum FaultKind {
 	/** SIGKILL; the host is restarted after the duration. */
 	HostKill = 'host-kill',
@@ -36,8 +36,10 @@
 	WorkerCutsHeads = 'worker-cuts-heads',
 	/** Another writer leaves an entry that cannot be used among those of the workers or hosts. */
 	OddEntry = 'odd-entry',
-	/** SIGTERM while callers send uploads that take seconds; the host is restarted once it has exited. */
+	/** SIGTERM while callers send calls that take up to seconds, and further signals during the grace period; the host is restarted once it has exited. */
 	HostStopLongCalls = 'host-stop-long-calls',
+	/** The same to all hosts in turn, the next one before the former has to be gone. */
+	HostStopsInTurn = 'host-stops-in-turn',
 	/** The worker is registered as draining. */
 	WorkerDrain = 'worker-drain',
 	/** The worker's entry is removed from the store. */
@@ -76,11 +78,13 @@
 /** Groups of kinds that were added later. Each is drawn after all before it, so that a seed still gives the faults that it gave before. */
 const LATER_KINDS = [[FaultKind.StoreRestore, FaultKind.WorkerEndless], [FaultKind.WorkerLimit], [FaultKind.CrashingRequest], [FaultKind.HostIsolated], [FaultKind.WorkerLeaving, FaultKind.WorkerBackoff], [FaultKind.WorkerRepeats, FaultKind.WorkerCutsHeads, FaultKind.OddEntry, FaultKind.HostStopLongCalls]];
 /** Kinds to choose from; a repeated kind is chosen more often. Worker faults have the highest weight because they have the most variants. */
-const WEIGHTED_KINDS = [...Object.values(FaultKind).filter(kind => !LATER_KINDS.flat().includes(kind)), FaultKind.WorkerFails, FaultKind.WorkerFails, FaultKind.WorkerDrain, FaultKind.WorkerGone, FaultKind.ConfigChange];
+const WEIGHTED_KINDS = [...Object.values(FaultKind).filter(kind => kind !== FaultKind.HostStopsInTurn && !LATER_KINDS.flat().includes(kind)), FaultKind.WorkerFails, FaultKind.WorkerFails, FaultKind.WorkerDrain, FaultKind.WorkerGone, FaultKind.ConfigChange];
 /** Mean time between the starts of consecutive faults, ms. */
 const MEAN_GAP_MS = 600;
 /** The same for a group of kinds that was added later, ms. */
 const LATER_MEAN_GAP_MS = 3000;
+/** The same for `FaultKind.HostStopsInTurn`, ms: in most of a run other faults meet hosts that are not stopping. */
+const IN_TURN_MEAN_GAP_MS = 12_000;
 /** Bounds of a fault's duration before `EXTRA_DURATION_MS`, ms. */
 const MIN_DURATION_MS = 200;
 const MAX_DURATION_MS = 4000;
@@ -105,6 +109,8 @@
 		faults.push(...drawFaults(random, durationMs, laterKinds, LATER_MEAN_GAP_MS));
 	}
 
+	faults.push(...drawFaults(random, durationMs, [FaultKind.HostStopsInTurn], IN_TURN_MEAN_GAP_MS));
+
 	return faults.toSorted((a, b) => a.atMs - b.atMs);
 }
 
--- a/packages/soak/src/promises.ts
+++ b/packages/soak/src/promises.ts
@@ -1,11 +1,11 @@
 import {createSignature} from '@apricotwood/platform/standin';
 import {checkCrashes} from './crashes.js';
 import {checkIsolation} from './isolation.js';
-import {FaultKind} from './plan.js';
 import {checkRateLimits} from './rate-limits.js';
 import {
 	CallEnd, CallKind, findMaxLagMs, isUndisturbed, type ChangeNotice, type SoakRecords,
 } from './records.js';
+import {checkStops} from './stops.js';
 import type {Violation} from './violation.js';
 import {checkBackoffs, checkLeavings} from './worker-notices.js';
 
@@ -17,10 +17,6 @@
 const EVACUATION_LIMIT_MS = 5000;
 /** Time limit for requests to stop reaching workers after their callers have left, ms. */
 const DEPARTURE_LIMIT_MS = 500;
-/** Timeout that callers announce in each call, ms. */
-export const CALL_TIMEOUT_MS = 1400;
-/** Timeout that callers announce in calls of the kind `CallKind.Long`, ms. */
-export const LONG_CALL_TIMEOUT_MS = 5000;
 /** A response that takes this much longer than the timeout is late, ms. */
 const RESPONSE_MARGIN_MS = 700;
 /** Minimum number of calls after recovery for a valid result. */
@@ -156,28 +152,9 @@
 	}).map(({id, url, host}) => ({promise: 'config', subject: id, message: `${host} has no route for ${url}`}));
 }
 
-/** A host that is stopped exits in time and does not abort calls that a worker has started to execute. */
-function checkStops(records: SoakRecords): Violation[] {
-	const violations: Violation[] = [];
-	const workerByCallId = new Map(records.runs.map(({id, worker}) => [id, worker]));
-	for (const {host, atMs, endAtMs} of records.stops) {
-		const untilMs = endAtMs ?? Number.POSITIVE_INFINITY;
-		if (endAtMs === undefined && isUndisturbed(records, atMs, untilMs, [host], FaultKind.HostStop)) {
-			violations.push({promise: 'stop', subject: host, message: 'process did not exit in time after the stop signal'});
-		}
-
-		const lostCalls = records.calls.filter(call => call.host === host && call.endAtMs > atMs && call.endAtMs <= untilMs + RESPONSE_MARGIN_MS
-			&& (call.end === CallEnd.NoAnswer || call.end === CallEnd.Cut) && workerByCallId.has(call.id)
-			&& isUndisturbed(records, call.sentAtMs, call.endAtMs, [host, workerByCallId.get(call.id)], FaultKind.HostStop));
-		violations.push(...lostCalls.map(({id, end}) => ({promise: 'stop', subject: id, message: `${host} was stopped, and a call that a worker had executed ended with ${end}`})));
-	}
-
-	return violations;
-}
-
 /** Each call gets a response in time. */
 function checkLate(records: SoakRecords): Violation[] {
-	return records.calls.filter(({kind, end, sentAtMs, endAtMs, host}) => (end === CallEnd.Hung || (end === CallEnd.Answered && endAtMs - sentAtMs > getTimeoutMs(kind) + RESPONSE_MARGIN_MS))
+	return records.calls.filter(({timeoutMs, end, sentAtMs, endAtMs, host}) => (end === CallEnd.Hung || (end === CallEnd.Answered && endAtMs - sentAtMs > timeoutMs + RESPONSE_MARGIN_MS))
 		&& isUndisturbed(records, sentAtMs, endAtMs, [host]))
 		.map(({id, sentAtMs, endAtMs, host}) => ({promise: 'late', subject: id, message: `call to ${host} took ${endAtMs - sentAtMs} ms`}));
 }
@@ -191,11 +168,6 @@
 		: [];
 }
 
-/** Timeout that callers announce in calls of a kind, ms. */
-function getTimeoutMs(kind: CallKind): number {
-	return kind === CallKind.Long ? LONG_CALL_TIMEOUT_MS : CALL_TIMEOUT_MS;
-}
-
 function getPathPrefix(url: string): string {
 	return `/${url.split('/')[1]}/`;
 }
--- a/packages/soak/src/records.ts
+++ b/packages/soak/src/records.ts
@@ -10,8 +10,10 @@
 	Book = 'book',
 	/** Upload. */
 	Load = 'load',
-	/** Upload on a route without a timeout, which takes seconds. */
+	/** Upload on a route without a timeout, which may take seconds. */
 	Long = 'long',
+	/** Non-idempotent, on a route with a timeout of seconds. */
+	Timed = 'timed',
 }
 
 /** How a call ended from the caller's point of view. */
@@ -41,6 +43,8 @@
 	readonly bytes: number;
 	/** MD5 of the request body, hex. */
 	readonly digest: string;
+	/** Timeout that the caller announces, ms. */
+	readonly timeoutMs: number;
 	readonly sentAtMs: number;
 	end: CallEnd;
 	endAtMs: number;
@@ -70,6 +74,8 @@
 	readonly kind: FaultKind;
 	/** Id of the host or worker, or `STORE_SUBJECT`. */
 	readonly subject: string;
+	/** Whether the fault ends calls at the subject without a whole answer, whatever a host does. @default false */
+	readonly endsCalls?: boolean;
 	readonly fromMs: number;
 	/** Infinity while the fault is active. */
 	untilMs: number;
@@ -122,6 +128,15 @@
 	readonly lagMs: number;
 };
 
+/** Stop of a host process. Times are Unix ms. */
+export type HostStop = {
+	readonly host: string;
+	/** Time of the first stop signal. */
+	readonly atMs: number;
+	/** Time at which the process had exited; `undefined` if it did not exit in time. */
+	endAtMs: number | undefined;
+};
+
 /** Observations of one run, taken outside the hosts. */
 export type SoakRecords = {
 	readonly calls: Call[];
@@ -141,8 +156,10 @@
 	readonly exits: HostExit[];
 	readonly notices: ChangeNotice[];
 	readonly disturbances: Disturbance[];
-	/** Stop signals that were sent to hosts; `endAtMs` is the time at which the process had exited. Times are Unix ms. */
-	readonly stops: Array<{readonly host: string; readonly atMs: number; endAtMs: number | undefined}>;
+	/** First stop signals of processes. */
+	readonly stops: HostStop[];
+	/** Periods in which all hosts were stopped in turn, from the first signal to the last exit. */
+	readonly stopsInTurn: Period[];
 	/** Time from which no fault is active and everything must have recovered, Unix ms. */
 	calmFromMs: number;
 };
@@ -150,7 +167,7 @@
 /** Creates records without observations. */
 export function createRecords(): SoakRecords {
 	return {
-		calls: [], runs: [], arrivals: [], limits: [], leavings: [], backoffs: [], oldBuilds: [], crashingRequests: [], isolations: [], lags: [], exits: [], notices: [], disturbances: [], stops: [], calmFromMs: Number.POSITIVE_INFINITY,
+		calls: [], runs: [], arrivals: [], limits: [], leavings: [], backoffs: [], oldBuilds: [], crashingRequests: [], isolations: [], lags: [], exits: [], notices: [], disturbances: [], stops: [], stopsInTurn: [], calmFromMs: Number.POSITIVE_INFINITY,
 	};
 }
 
--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -14,6 +14,7 @@
 		url: '/book/o1?filler=0',
 		bytes: 3,
 		digest: 'd',
+		timeoutMs: 1400,
 		sentAtMs: 10_000,
 		end: CallEnd.Answered,
 		endAtMs: 10_100,
@@ -92,9 +93,12 @@
 	assert.deepEqual(findBrokenPromises({calls: [cut], runs: [createRun()], stops}), ['stop']);
 	assert.deepEqual(findBrokenPromises({calls: [cut], runs: [], stops}), []);
 	const disturbances = [{
-		kind: FaultKind.WorkerFails, subject: 'w1', fromMs: 9000, untilMs: 9100,
+		kind: FaultKind.WorkerFails, subject: 'w1', endsCalls: true, fromMs: 9000, untilMs: 10_080,
 	}];
 	assert.deepEqual(findBrokenPromises({calls: [cut], runs: [createRun()], stops, disturbances}), []);
+	for (const other of [{endsCalls: false}, {untilMs: 9900}, {subject: 'w2'}, {kind: FaultKind.StoreLink, subject: 'h1', endsCalls: false}]) {
+		assert.deepEqual(findBrokenPromises({calls: [cut], runs: [createRun()], stops, disturbances: [{...disturbances[0]!, ...other}]}), ['stop'], JSON.stringify(other));
+	}
 });
 
 test('promises: reports a call that hangs or is answered late', () => {
