--- a/packages/soak/src/stops.ts
+++ b/packages/soak/src/stops.ts
@@ -1,7 +1,8 @@
 import type {ExecutedRequest} from '@apricotwood/platform/standin';
+import {STOP_TIMEOUT_MS} from './host.js';
 import {FaultKind} from './plan.js';
 import {
-	CallEnd, isUndisturbed, type Call, type HostStop, type SoakRecords,
+	CallEnd, findMaxLagMs, isUndisturbed, type Call, type HostStop, type SoakRecords,
 } from './records.js';
 import {ROUTE_TIMEOUTS_MS} from './routes.js';
 import type {Violation} from './violation.js';
@@ -64,7 +65,7 @@
 
 function checkExit(records: SoakRecords, {host, atMs, endAtMs}: HostStop): Violation[] {
 	return endAtMs === undefined && isUndisturbed(records, atMs, Number.POSITIVE_INFINITY, [host], FaultKind.HostStop)
-		? [{promise: 'stop', subject: host, message: 'process did not exit in time after the stop signal'}]
+		? [{promise: 'stop', subject: host, message: `process did not exit in time after the stop signal; the soak itself lagged up to ${findMaxLagMs(records, atMs, atMs + STOP_TIMEOUT_MS)} ms`}]
 		: [];
 }
 
