--- a/packages/entry/src/host/worker-access.ts
+++ b/packages/entry/src/host/worker-access.ts
@@ -49,7 +49,7 @@
 	readonly #prober: ReachabilityProber;
 
 	constructor(private readonly deps: WorkerAccessDeps) {
-		const {state, log, connector, rateLimiter} = deps;
+		const {state, rateLimiter} = deps;
 		this.backoffs = new BackoffTracker(deps.hostHash);
 		this.availability = new WorkerAvailability({
 			fleet: state.fleet, drains: this.drains, backoffs: this.backoffs, health: this.health, rateLimiter,
@@ -75,8 +75,8 @@
 			},
 		});
 		this.crashDetector = new CrashDetector({
-			log,
-			connector,
+			...deps,
+			findWorker: id => state.fleet.get(id),
 			isLeaving: worker => this.availability.isLeaving(worker),
 			isPathInDoubt: () => this.reachability.isDoubtful,
 			onCrash: (worker, fingerprints) => {
--- a/packages/entry/src/request/attempt-outcome.ts
+++ b/packages/entry/src/request/attempt-outcome.ts
@@ -13,6 +13,8 @@
 	/** Hash of the requested object; `undefined` when the request has none. */
 	readonly object: number | undefined;
 	readonly fingerprint: RequestFingerprint;
+	/** Deadline of the request, which its workers are told, monotonic ms. */
+	readonly deadlineAtMs: number;
 };
 
 /** An attempt at a worker that has ended. */
@@ -40,6 +42,7 @@
 	const nowMs = clock.monotonic();
 	if (result.head) {
 		reachability.recordResponse(nowMs);
+		crashDetector.recordResponse(worker);
 	}
 
 	const reported = result.head?.metadata.load;
@@ -66,6 +69,7 @@
 		case ExchangeEnd.Mismatched: {
 			pool.recordMismatch(id, address);
 			workerHealth.recordAttempt(hash, AttemptOutcome.Failed, nowMs);
+			crashDetector.recordCancelled(worker, req.fingerprint.value, req.deadlineAtMs);
 			break;
 		}
 
@@ -84,6 +88,10 @@
 		}
 
 		case ExchangeEnd.Cancelled: {
+			if (result.mayHaveRun && !result.head) {
+				crashDetector.recordCancelled(worker, req.fingerprint.value, req.deadlineAtMs);
+			}
+
 			if (hasTimedOut) {
 				workerHealth.recordAttempt(hash, AttemptOutcome.Unreachable, nowMs);
 			}
@@ -102,7 +110,7 @@
 	}
 
 	if (head.status < FIRST_ERROR_STATUS) {
-		deps.crashGuard.recordResponse(req.fingerprint);
+		recordServed(deps, req.fingerprint);
 		deps.attemptDurations.record(req.route, req.service, attempt.durationMs);
 	}
 
@@ -111,6 +119,13 @@
 	recordServiceTime(deps, req, attempt, nowMs);
 }
 
+function recordServed({crashGuard, crashDetector}: SessionDeps, fingerprint: RequestFingerprint): void {
+	crashGuard.recordResponse(fingerprint);
+	if (!crashDetector.hasNoUnansweredAttempts) {
+		crashDetector.recordServed(fingerprint.value);
+	}
+}
+
 function recordServiceTime({serviceTimes, objectCaches}: SessionDeps, {route, service, object}: AttemptedRequest, attempt: EndedAttempt, nowMs: number): void {
 	const {worker, placement: {cacheState, reuseDistance, waitMs}, durationMs, networkMs} = attempt;
 	const wasWarm = serviceTimes.record(route, service, worker.hash, cacheState, Math.max(1, durationMs - networkMs), waitMs, nowMs);
--- a/test/entry/crash-detector.test.ts
+++ b/test/entry/crash-detector.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {setImmediate as nextTurn} from 'node:timers/promises';
+import {FakeClock} from '@apricotwood/clock';
 import {CrashDetector, type Connector} from '@apricotwood/entry';
 import {WorkerState, type Worker} from '@apricotwood/steering';
 import {NOOP_LOG} from '@apricotwood/telemetry';
@@ -35,8 +36,10 @@
 			await nextTurn();
 		},
 		detector: new CrashDetector({
+			clock: new FakeClock(),
 			connector,
 			log: NOOP_LOG,
+			findWorker: () => undefined,
 			isLeaving: ({registration: {state}}) => state !== WorkerState.Ready,
 			isPathInDoubt: () => fixture.isPathInDoubt,
 			onCrash(worker, fingerprints) {
