--- a/packages/soak/src/breakages.ts
+++ b/packages/soak/src/breakages.ts
@@ -102,7 +102,7 @@
 	},
 	'leaves-at-once': {
 		file: 'packages/entry/src/host/shutdown.ts',
-		from: 'await sleep(clock, closeAfterMs);',
+		from: 'await sleep(clock, startAtMs + closeAfterMs - clock.monotonic());',
 		to: 'process.exit(0);',
 		promise: 'stop',
 	},
