--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -1,4 +1,4 @@
-import type {Clock, Random} from '@apricotwood/clock';
+import {sleep, type Clock, type Random} from '@apricotwood/clock';
 import {
 	LoadTracker, ReportInterval, ShutdownDeadline, WaitingRequests, type RetryBudgetOptions,
 } from '@apricotwood/steering';
@@ -59,6 +59,9 @@
 
 /** Capacity of the waiting list; further requests that find no free worker are rejected. */
 const MAX_WAITING_REQUESTS = 300;
+/** Time for the supervised tasks to end after all requests have ended, ms. One that does not, for example because a connection is being opened, does not hold up the process. */
+const TASKS_END_TIMEOUT_MS = 100;
+
 /** Entry host: accepts callers' requests and proxies them to the workers, which all hosts share. */
 export class EntryHost {
 	readonly members: MemberList;
@@ -115,10 +118,11 @@
 		return this.#directory.findHosts(zone, region);
 	}
 
-	/** Runs until the signal is aborted and shutdown is complete. @throws if a supervised task fails permanently. */
+	/** Runs until the signal is aborted and shutdown is complete. @throws the error of a supervised task that fails permanently, after the same shutdown. */
 	async run(signal: AbortSignal): Promise<void> {
 		const {settings, clock, random, log} = this.deps;
 		const stop = new AbortController();
+		const failed = new AbortController();
 		const supervisor = new Supervisor({
 			name: 'entry',
 			clock,
@@ -138,8 +142,10 @@
 			{name: 'reach', run: async inner => this.#workerAccess.runProbes(inner)},
 			{name: 'report', run: async inner => this.#stateReporter.run(inner)},
 			{name: 'pump', run: async inner => this.#waitingRetrier.run(inner)},
-		], stop.signal);
-		const shutdown = shutDownOnAbort({
+		], stop.signal).catch((error: unknown) => {
+			failed.abort(error);
+		});
+		await shutDownOnAbort({
 			clock,
 			log,
 			lifecycle: this.lifecycle,
@@ -152,13 +158,13 @@
 			announce: () => {
 				this.#heartbeats.send();
 			},
-		}, signal);
-		await Promise.race([tasks, shutdown]);
+		}, AbortSignal.any([signal, failed.signal]));
 		stop.abort();
-		await tasks;
+		await Promise.race([tasks, sleep(clock, TASKS_END_TIMEOUT_MS)]);
 		this.#workerAccess.pool.close();
 		this.#peerPool.close();
 		await this.#catchUp.close();
+		failed.signal.throwIfAborted();
 	}
 
 	async #servePeers(signal: AbortSignal): Promise<void> {
