--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -152,7 +152,7 @@
 			ingress: this.#ingress,
 			deadline: this.#shutdownDeadline,
 			report: this.#shutdownReport,
-			getLastRunAtMs: () => this.#waitingRetrier.lastRunAtMs,
+			getReadUntilMs: () => this.#waitingRetrier.readUntilMs,
 			graceMs: settings.graceMs,
 			lookupLifetimeMs: settings.lookupLifetimeMs,
 			announce: () => {
--- a/packages/entry/src/host/shutdown.ts
+++ b/packages/entry/src/host/shutdown.ts
@@ -30,8 +30,8 @@
 	/** Set at the signal: requests that may end later are not started any more. */
 	readonly deadline: ShutdownDeadline;
 	readonly report: ShutdownReport;
-	/** Returns the latest time at which the event loop is known not to have been blocked, monotonic ms; the signal came later. */
-	readonly getLastRunAtMs: () => number;
+	/** Returns the time before which the signal cannot have come, monotonic ms. */
+	readonly getReadUntilMs: () => number;
 	/** Tells the other hosts that this one is leaving. */
 	readonly announce: () => void;
 };
@@ -53,10 +53,10 @@
 }
 
 /** After the signal: announces the shutdown, serves what can be answered in time, then drains until no request is in flight or the grace period ends. */
-export async function shutDownOnAbort({clock, log, lifecycle, ingress, deadline, report, getLastRunAtMs, announce, ...periods}: ShutdownDeps, signal: AbortSignal): Promise<void> {
+export async function shutDownOnAbort({clock, log, lifecycle, ingress, deadline, report, getReadUntilMs, announce, ...periods}: ShutdownDeps, signal: AbortSignal): Promise<void> {
 	await waitForAbort(signal);
 	// The platform counts the grace period from the signal, which a blocked event loop notices late.
-	const startAtMs = getLastRunAtMs();
+	const startAtMs = getReadUntilMs();
 	const {closeAfterMs, endAfterMs} = computeShutdownSchedule(periods);
 	deadline.set(startAtMs + endAfterMs);
 	report.begin(startAtMs, startAtMs + endAfterMs);
--- a/packages/entry/src/request/waiting-retrier.ts
+++ b/packages/entry/src/request/waiting-retrier.ts
@@ -26,7 +26,8 @@
 export class WaitingRetrier {
 	#isScheduled = false;
 	#maxLagMs = 0;
-	#lastRunAtMs = Number.POSITIVE_INFINITY;
+	/** The latest two times at which the event loop ran this, monotonic ms. */
+	#runsAtMs: readonly [number, number] = [Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY];
 
 	constructor(private readonly deps: WaitingRetrierDeps) {}
 
@@ -38,7 +39,7 @@
 			const dueAtMs = clock.monotonic() + intervalMs;
 			await sleep(clock, intervalMs, signal); // eslint-disable-line no-await-in-loop
 			const nowMs = clock.monotonic();
-			this.#lastRunAtMs = nowMs;
+			this.#runsAtMs = [this.#runsAtMs[1], nowMs];
 			this.#recordLag(nowMs - dueAtMs);
 			this.#recordOverdue(nowMs);
 			this.schedule();
@@ -55,9 +56,13 @@
 		void this.#retry();
 	}
 
-	/** Latest time at which the event loop is known not to have been blocked, monotonic ms. */
-	get lastRunAtMs(): number {
-		return Math.min(this.#lastRunAtMs, this.deps.clock.monotonic());
+	/**
+	 * Time before which whatever the event loop handles now cannot have come, monotonic
+	 * ms. After it was blocked, it runs this before it reads what has come meanwhile,
+	 * so the latest time but one counts.
+	 */
+	get readUntilMs(): number {
+		return Math.min(this.#runsAtMs[0], this.deps.clock.monotonic());
 	}
 
 	/** Longest lag of the event loop since the last call, ms. */
--- a/test/entry/stopping-host.test.ts
+++ b/test/entry/stopping-host.test.ts
@@ -5,6 +5,7 @@
 	after, afterEach, before, beforeEach, test,
 } from 'node:test';
 import {connect} from 'node:net';
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {FakeStore, FakeWorker, createOperatorConfig} from '@apricotwood/platform/standin';
 import {TestEntryHost, waitUntil, freePorts} from '../fixtures/test-entry-host.js';
@@ -16,6 +17,9 @@
 /** Timeout of the callers, beyond the end of the host, ms. */
 const CALLER_TIMEOUT_MS = 5000;
 
+/** Stands for SIGTERM, which the test runner handles itself. */
+const STOP_SIGNAL = 'SIGUSR2';
+
 const store = new FakeStore();
 const worker = new FakeWorker('w1', 'board');
 let ports: number[] = [];
@@ -168,13 +172,21 @@
 	worker.processingMs = 2 * GRACE_MS;
 	const response = upload('/photos/endless', CALLER_TIMEOUT_MS);
 	await waitUntil('the worker has it', () => worker.executedRequestIds.includes(`stopping-${nextId}`));
-	await delay(200);
+	await delay(300);
+	process.once(STOP_SIGNAL, () => {
+		host.beginShutdown();
+	});
+	// In this phase of the event loop, timers run before the signal is read.
+	await new Promise<void>(resolve => {
+		setImmediate(resolve);
+	});
+	process.kill(process.pid, STOP_SIGNAL);
 	const signalAtMs = performance.now();
 	while (performance.now() < signalAtMs + 600) {
-		// The event loop is busy when the signal comes.
+		// The event loop is blocked.
 	}
 
-	host.beginShutdown();
+	await once(process, STOP_SIGNAL);
 	await host.stop();
 	assert.ok(performance.now() - signalAtMs < GRACE_MS);
 	await response;
