--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -76,7 +76,7 @@
 		let last: ExchangeResult | undefined;
 		let isRejected = false;
 		for (const peer of this.listPeers(req.route)) {
-			if (!shutdownDeadline.allows(req)) {
+			if (!shutdownDeadline.allows(req) || clock.monotonic() >= req.deadlineAtMs) {
 				break;
 			}
 
--- a/packages/steering/src/shutdown-deadline.ts
+++ b/packages/steering/src/shutdown-deadline.ts
@@ -1,5 +1,5 @@
 /** Time after its deadline by which a request has ended in any case, ms. */
-const RESPONSE_GRACE_MS = 200;
+const RESPONSE_GRACE_MS = 300;
 
 /**
  * The time at which this host ends, and which requests it may still start. A request
