--- a/packages/entry/src/request/ingress.ts
+++ b/packages/entry/src/request/ingress.ts
@@ -2,6 +2,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {DEFAULT_CALLER_LIMITS, type CallerLimits} from '@apricotwood/steering';
+import {Server as TcpServer, type Socket} from 'node:net';
 import {resetSocket} from '../socket.js';
 import type {ReplicatedState} from '../state/replicated-state.js';
 import {MAX_PARSED_HEADER_BYTES, countHeaderBytes} from './headers.js';
@@ -28,6 +29,8 @@
 	readonly #server: Server;
 	/** Responses that have not been handed over to the network completely, with the sessions that create them. */
 	readonly #inFlight = new Map<ServerResponse, Session | undefined>();
+	/** Connections of callers that have carried a request. */
+	readonly #kept = new Set<Socket>();
 
 	constructor(private readonly state: ReplicatedState, private readonly deps: SessionDeps) {
 		this.#server = createServer({maxHeaderSize: MAX_PARSED_HEADER_BYTES, requestTimeout: 0, connectionsCheckingInterval: 1000}, (req, res) => {
@@ -36,6 +39,9 @@
 		this.#server.on('connection', socket => {
 			// Each request on the connection listens for its end, and a caller may pipeline many.
 			socket.setMaxListeners(0);
+			socket.once('close', () => {
+				this.#kept.delete(socket);
+			});
 		});
 		this.setLimits(DEFAULT_CALLER_LIMITS);
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
@@ -65,20 +71,32 @@
 		});
 	}
 
-	/** Stops accepting connections; requests in flight continue. */
+	/**
+	 * Stops accepting connections and closes those that are kept between two requests;
+	 * requests in flight continue. Not done by the HTTP server's own `close`, which
+	 * takes a connection for idle as soon as its response has been ended, before it has
+	 * been handed over to the network.
+	 */
 	close(): void {
-		this.#server.close();
-		this.#server.closeIdleConnections();
+		TcpServer.prototype.close.call(this.#server);
+		const busy = new Set(Array.from(this.#inFlight.keys(), ({req}) => req.socket));
+		for (const socket of this.#kept) {
+			if (!busy.has(socket)) {
+				socket.destroy();
+			}
+		}
 	}
 
 	/** Closes all connections. Those of the requests in flight are reset, as a response without a length would look complete otherwise, and these requests are logged. */
 	reset(): void {
-		for (const [{req, socket}, session] of this.#inFlight) {
+		for (const [res, session] of this.#inFlight) {
+			const {req, socket} = res;
+			const wasLogged = session?.cut() ?? true;
 			this.deps.shutdownReport.recordCut(() => {
-				if (session) {
-					session.logCut();
+				if (wasLogged) {
+					this.deps.log.info({event: 'response-cut', id: this.deps.dialect.parseRequestHeaders(req.headers).requestId, status: res.statusCode});
 				} else {
-					this.#logRequest(req, RejectionCode.Cut, undefined);
+					session?.logCut();
 				}
 			});
 			if (socket) {
@@ -96,6 +114,10 @@
 
 	async #handle(req: IncomingMessage, res: ServerResponse, isForwarded: boolean): Promise<void> {
 		this.#inFlight.set(res, undefined);
+		if (!isForwarded) {
+			this.#kept.add(req.socket);
+		}
+
 		res.once('close', () => {
 			this.#inFlight.delete(res);
 		});
@@ -140,21 +162,17 @@
 
 	#reject(req: IncomingMessage, res: ServerResponse, rejection: Rejection): void {
 		this.deps.metrics.count(`requests.${rejection.code}`);
-		this.#logRequest(req, rejection.code, rejection.status);
-		sendRejection(res, rejection);
-	}
-
-	#logRequest(req: IncomingMessage, code: RejectionCode, status: number | undefined): void {
 		this.deps.log.info({
 			event: 'request',
 			id: this.deps.dialect.parseRequestHeaders(req.headers).requestId,
-			code,
-			status,
+			code: rejection.code,
+			status: rejection.status,
 			host: req.headers.host,
 			url: req.url,
 			config: this.state.table?.version,
 			ageMs: Math.round(this.state.ageMs()),
 		});
+		sendRejection(res, rejection);
 	}
 }
 
--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -45,6 +45,7 @@
 	/** Why the request was stopped before it had a response. */
 	#stopReason: Rejection | undefined;
 	#isCut = false;
+	#isFinished = false;
 
 	constructor(
 		private readonly deps: SessionDeps,
@@ -319,9 +320,14 @@
 		this.#sender?.cancel();
 	}
 
-	/** Logs that this host ends before the response has been handed over to the network; attempts without an end are in progress. */
-	logCut(): void {
+	/** Ends the request as this host ends: what follows is not logged. @returns whether it had finished, and its line was logged, before. */
+	cut(): boolean {
 		this.#isCut = true;
+		return this.#isFinished;
+	}
+
+	/** Logs that this host ended before the request had finished; attempts without an end are in progress. */
+	logCut(): void {
 		this.#log(RejectionCode.Cut, 'this host ended before the response');
 	}
 
@@ -330,6 +336,8 @@
 			return;
 		}
 
+		this.#isFinished = true;
+
 		if (rejection && !this.#hasCallerLeft) {
 			this.#writer.reject(rejection);
 		}
--- a/test/entry/stopping-responses.test.ts
+++ b/test/entry/stopping-responses.test.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
+import {subscribe, unsubscribe} from 'node:diagnostics_channel';
 import {connect, type Socket} from 'node:net';
 import {
 	after, afterEach, before, beforeEach, test,
 } from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
+import {HostPhase} from '@apricotwood/entry';
 import {FakeStore, createOperatorConfig} from '@apricotwood/platform/standin';
 import {RawWorker} from '../fixtures/raw-worker.js';
 import {TestEntryHost, waitUntil, freePorts} from '../fixtures/test-entry-host.js';
@@ -112,3 +114,49 @@
 	assert.equal(wasReset, false);
 	assert.equal(host.logLines.find(({event}) => event === 'left')?.running, 0);
 });
+
+/** Socket of a host whose writes to the network are held back, as those to a slow caller. */
+type HeldSocket = Socket & {_writeGeneric: (...args: unknown[]) => void};
+
+// LOST, MIXED (issue 44): a response that had been ended, but not handed over to the network, was cut by the close, with a regular end.
+test('a response that is handed over after its host has closed its idle connections arrives whole', async () => {
+	const body = 'x'.repeat(5000);
+	respond = (socket, head) => {
+		socket.write(createHead(head, `Content-Length: ${body.length}\r\n`) + body);
+	};
+
+	const accepted: HeldSocket[] = [];
+	const heldWrites: Array<() => void> = [];
+	const holdBack = (message: unknown) => {
+		const {socket} = message as {socket: HeldSocket};
+		if (socket.localPort !== ports[1]) {
+			return;
+		}
+
+		const write = socket._writeGeneric.bind(socket);
+		accepted.push(socket);
+		socket._writeGeneric = (...args) => {
+			heldWrites.push(() => {
+				write(...args);
+			});
+		};
+	};
+
+	subscribe('net.server.socket', holdBack);
+	const {received} = request('handed-over-late');
+	await waitUntil('the response is ended', () => host.logLines.some(({id, code}) => id === 'handed-over-late' && code === 'answered'));
+	unsubscribe('net.server.socket', holdBack);
+	host.beginShutdown();
+	await waitUntil('the host has closed', () => host.host.lifecycle.phase === HostPhase.Closing);
+	await delay(50);
+	assert.equal(accepted[0]!.destroyed, false);
+	for (const write of heldWrites) {
+		write();
+	}
+
+	await host.stop();
+	const {bytes, wasReset} = await received;
+	assert.ok(bytes > body.length);
+	assert.equal(wasReset, false);
+	assert.equal(host.logLines.find(({event}) => event === 'left')?.cut, 0);
+});
