--- a/packages/entry/src/request/ingress.ts
+++ b/packages/entry/src/request/ingress.ts
@@ -1,8 +1,8 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {DEFAULT_CALLER_LIMITS, type CallerLimits} from '@apricotwood/steering';
 import {Server as TcpServer, type Socket} from 'node:net';
+import {DEFAULT_CALLER_LIMITS, type CallerLimits} from '@apricotwood/steering';
 import {resetSocket} from '../socket.js';
 import type {ReplicatedState} from '../state/replicated-state.js';
 import {MAX_PARSED_HEADER_BYTES, countHeaderBytes} from './headers.js';
--- a/test/entry/request-forwarder.test.ts
+++ b/test/entry/request-forwarder.test.ts
@@ -21,7 +21,7 @@
 }
 
 /** A request for the service `board`. */
-const REQUEST: ForwardableRequest = {route: makeRoute(), service: 'board', deadlineAtMs: 100_000};
+const REQUEST: ForwardableRequest = {route: makeRoute(), service: 'board', deadlineAtMs: Number.MAX_SAFE_INTEGER};
 
 function createForwarder({clock}: ClusterSimulation, {isolation, entry: {region}}: SimulatedHost, shutdownDeadline = new ShutdownDeadline()): RequestForwarder {
 	return new RequestForwarder({
@@ -114,3 +114,11 @@
 	assert.equal(await forwarder.forward(REQUEST, sender, true), undefined);
 	assert.equal(sender.peers.length, 0);
 });
+
+test('request forwarder: a request whose deadline has passed is passed on to no host', async () => {
+	const cluster = await createCluster();
+	const sender = new FakeSender([ANSWERED]);
+	const request = {...REQUEST, deadlineAtMs: cluster.clock.monotonic()};
+	assert.equal(await createForwarder(cluster, cluster.getRunningHosts()[0]!).forward(request, sender, true), undefined);
+	assert.equal(sender.peers.length, 0);
+});
