--- a/test/entry/odd-entries.test.ts
+++ b/test/entry/odd-entries.test.ts
@@ -74,7 +74,7 @@
 }
 
 // LOST (report of another operator): hosts that read an odd entry among those of the workers ended again and again, or stopped following the list.
-test('odd entries among those of the workers name no worker, harm no request and no part of a host, and the others hold', async () => {
+test('odd entries among those of the workers name no worker, harm no request and no part of a host, and the others hold', async t => {
 	const host = await startHost('127.0.0.73');
 	for (const [id, create] of Object.entries(ODD_WORKERS)) {
 		store.putWorker(id, create());
@@ -82,6 +82,7 @@
 
 	const other = new FakeWorker('w2', 'board', 'a2');
 	await other.start();
+	t.after(async () => other.stop());
 	store.putWorker(other.id, other.entry);
 	await waitUntil('the host follows the list', () => host.host.state.fleet.get('w2') !== undefined);
 	assert.deepEqual(new Set(Array.from(host.host.state.fleet.all(), ({registration}) => registration.id)), new Set(['w1', 'w2']));
@@ -92,13 +93,13 @@
 	assert.deepEqual(findFailures(host), []);
 	store.deleteWorker(other.id);
 	await waitUntil('the host follows the list', () => host.host.state.fleet.get('w2') === undefined);
-	await other.stop();
 });
 
-test('an odd entry in the place of a good one ends the use of the worker until it writes a good one again', async () => {
+test('an odd entry in the place of a good one ends the use of the worker until it writes a good one again', async t => {
 	const host = await startHost('127.0.0.74');
 	const replaced = new FakeWorker('w3', 'board');
 	await replaced.start();
+	t.after(async () => replaced.stop());
 	for (let round = 0; round < 2; round++) {
 		store.putWorker(replaced.id, replaced.entry);
 		await waitUntil('the worker is known', () => host.host.state.fleet.get('w3') !== undefined);
@@ -106,7 +107,6 @@
 		await waitUntil('the worker is not used', () => host.host.state.fleet.get('w3') === undefined);
 	}
 
-	await replaced.stop();
 	assert.deepEqual(findFailures(host), []);
 });
 
