--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -13,6 +13,7 @@
 import {RequestFingerprint} from './fingerprint.js';
 import {PlacementWaiter} from './placement-waiter.js';
 import {RejectionCode, createUnknownOutcomeRejection, type Rejection} from './rejection.js';
+import {ANSWERED_CODE, logRequestEnd, type EndedRequest} from './request-log.js';
 import {isPeerRejection, shouldForward} from './response-selection.js';
 import {ResponseWriter} from './response-writer.js';
 import type {SessionDeps} from './session-deps.js';
@@ -337,7 +338,6 @@
 		}
 
 		this.#isFinished = true;
-
 		if (rejection && !this.#hasCallerLeft) {
 			this.#writer.reject(rejection);
 		}
@@ -346,31 +346,23 @@
 			this.deps.shutdownReport.recordRejection();
 		}
 
-		this.#log(this.#hasCallerLeft ? RejectionCode.CallerLeft : (rejection?.code ?? 'answered'), rejection?.message);
+		this.#log(this.#hasCallerLeft ? RejectionCode.CallerLeft : (rejection?.code ?? ANSWERED_CODE), rejection?.message);
 	}
 
-	#log(code: RejectionCode | 'answered', message: string | undefined): void {
-		const {log, metrics, clock, getConfigVersion} = this.deps;
-		const ms = Math.round(clock.monotonic() - this.#startAtMs);
-		const hasCrashes = code === RejectionCode.Quarantined || code === RejectionCode.Suspect || (this.#sender?.brokenAttempts ?? 0) > 0;
-		metrics.count(`requests.${code}`);
-		metrics.latency(`request.${this.route.kind}`, ms);
-		log.info({
-			event: 'request',
-			id: this.metadata.requestId,
-			route: this.route.name,
-			service: this.#service,
-			object: this.metadata.object,
-			config: getConfigVersion(),
+	#log(code: EndedRequest['code'], message: string | undefined): void {
+		logRequestEnd(this.deps, {
 			code,
-			status: this.#writer.status,
-			ms,
-			waitedMs: Math.round(this.#waiter.queuedMs),
-			isForwarded: this.isForwarded ? true : undefined,
-			targetLeftMs: Math.round(this.#targetAtMs - clock.monotonic()),
-			attempts: this.#sender?.records ?? [],
-			fingerprint: hasCrashes ? this.#fingerprint?.value : undefined,
 			message,
+			route: this.route,
+			service: this.#service,
+			metadata: this.metadata,
+			isForwarded: this.isForwarded,
+			startAtMs: this.#startAtMs,
+			targetAtMs: this.#targetAtMs,
+			queuedMs: this.#waiter.queuedMs,
+			status: this.#writer.status,
+			sender: this.#sender,
+			fingerprint: this.#fingerprint,
 		});
 	}
 }
