--- a/packages/daemon/src/host/departure.ts
+++ b/packages/daemon/src/host/exit-sequence.ts
@@ -15,8 +15,8 @@
 /** Time for connections without a request in flight to end when the host closes, ms. */
 const CLOSE_TIMEOUT_MS = 1000;
 
-/** Dependencies of {@link Departure}. */
-export type DepartureDeps = {
+/** Dependencies of {@link ExitSequence}. */
+export type ExitSequenceDeps = {
 	readonly clock: Clock;
 	readonly log: Log;
 	readonly lifecycle: HostLifecycle;
@@ -31,8 +31,8 @@
 };
 
 /** The steps of a host's end after its last request: it gives back its units and closes its connections. */
-export class Departure {
-	constructor(private readonly deps: DepartureDeps) {}
+export class ExitSequence {
+	constructor(private readonly deps: ExitSequenceDeps) {}
 
 	/** Closes the connections to workers and other hosts; attempts in flight fail. */
 	async disconnectUpstreams(): Promise<void> {
--- a/packages/daemon/src/host/host.ts
+++ b/packages/daemon/src/host/host.ts
@@ -10,7 +10,7 @@
 import {Prober} from '../upstream/probe.js';
 import type {Identity} from './identity.js';
 import {assembleHost, type HostDeps, type HostComponents} from './components.js';
-import {Departure} from './departure.js';
+import {ExitSequence} from './exit-sequence.js';
 import {HostEvent, HostLifecycle, HostPhase} from './phase.js';
 import {Shutdown, waitForAbort} from './shutdown.js';
 import {computeShutdownSchedule} from './shutdown-schedule.js';
@@ -111,12 +111,12 @@
 		await waitForAbort(AbortSignal.any([mustEnd, this.#drainRequested.signal]));
 		await shutdown.drain();
 		stopChildren.abort();
-		const departure = this.#createDeparture();
+		const exitSequence = this.#createExitSequence();
 		await shutdown.runUntilExit(async () => childrenDone);
-		await departure.disconnectUpstreams();
-		await shutdown.runUntilExit(async exit => departure.releaseShares(exit));
-		await shutdown.runUntilExit(async exit => departure.closeServer(exit));
-		await departure.closeConnections();
+		await exitSequence.disconnectUpstreams();
+		await shutdown.runUntilExit(async exit => exitSequence.releaseShares(exit));
+		await shutdown.runUntilExit(async exit => exitSequence.closeServer(exit));
+		await exitSequence.closeConnections();
 		this.deps.log.info({event: 'left', holdsUnits: this.#components.ledger.holdsUnits});
 		if (failure) {
 			throw failure;
@@ -347,9 +347,9 @@
 		}, mustEnd);
 	}
 
-	#createDeparture(): Departure {
+	#createExitSequence(): ExitSequence {
 		const {clock, log} = this.deps;
-		return new Departure({
+		return new ExitSequence({
 			...this.#components, clock, log, lifecycle: this.lifecycle, renewLease: async () => this.#renewWithoutDemand(),
 		});
 	}
--- a/packages/soak/src/stops.ts
+++ b/packages/soak/src/stops.ts
@@ -20,7 +20,7 @@
 const LOST_ENDS: ReadonlySet<CallEnd> = new Set([CallEnd.Cut, CallEnd.NoAnswer, CallEnd.NoConnection]);
 
 /** What is known of a call that reached a worker. */
-type Passage = {
+type ForwardedCall = {
 	readonly call: Call;
 	/** Hosts that had the request: that of the caller, and the one that sent it to a worker. */
 	readonly hosts: Set<string>;
@@ -30,37 +30,37 @@
 
 /** A host that is stopped exits in time, and a call that reached a worker through it ends with a whole answer unless the rule excuses it. */
 export function checkStops(records: SoakRecords): Violation[] {
-	const passages = listPassages(records);
-	return records.stops.flatMap(stop => [...checkExit(records, stop), ...checkPassages(records, stop, passages)]);
+	const forwardedCalls = listForwardedCalls(records);
+	return records.stops.flatMap(stop => [...checkExit(records, stop), ...checkForwardedCalls(records, stop, forwardedCalls)]);
 }
 
-function listPassages({calls, arrivals, runs}: SoakRecords): Passage[] {
-	const passages = new Map<string, Passage>();
+function listForwardedCalls({calls, arrivals, runs}: SoakRecords): ForwardedCall[] {
+	const forwardedCalls = new Map<string, ForwardedCall>();
 	const callsById = new Map(calls.map(call => [call.id, call]));
-	const getPassage = (id: string): Passage | undefined => {
+	const getForwardedCall = (id: string): ForwardedCall | undefined => {
 		const call = callsById.get(id);
-		if (call && !passages.has(id)) {
-			passages.set(id, {
+		if (call && !forwardedCalls.has(id)) {
+			forwardedCalls.set(id, {
 				call, hosts: new Set([call.host]), workers: new Set(), runs: [],
 			});
 		}
 
-		return passages.get(id);
+		return forwardedCalls.get(id);
 	};
 
 	for (const {id, worker, sender} of arrivals) {
-		const passage = getPassage(id);
-		passage?.workers.add(worker);
-		passage?.hosts.add(sender ?? passage.call.host);
+		const forwardedCall = getForwardedCall(id);
+		forwardedCall?.workers.add(worker);
+		forwardedCall?.hosts.add(sender ?? forwardedCall.call.host);
 	}
 
 	for (const run of runs) {
-		const passage = getPassage(run.id);
-		passage?.workers.add(run.worker);
-		passage?.runs.push(run);
+		const forwardedCall = getForwardedCall(run.id);
+		forwardedCall?.workers.add(run.worker);
+		forwardedCall?.runs.push(run);
 	}
 
-	return [...passages.values()];
+	return [...forwardedCalls.values()];
 }
 
 function checkExit(records: SoakRecords, {host, atMs, endAtMs}: HostStop): Violation[] {
@@ -69,10 +69,10 @@
 		: [];
 }
 
-function checkPassages(records: SoakRecords, stop: HostStop, passages: readonly Passage[]): Violation[] {
+function checkForwardedCalls(records: SoakRecords, stop: HostStop, forwardedCalls: readonly ForwardedCall[]): Violation[] {
 	const untilMs = Math.min(findNextStopMs(records, stop), Math.max((stop.endAtMs ?? Number.POSITIVE_INFINITY) + AFTER_EXIT_MS, stop.atMs + GRACE_MS + AFTER_GRACE_MS));
-	const lost = passages.filter(({call, hosts}) => hosts.has(stop.host) && LOST_ENDS.has(call.end) && call.endAtMs > stop.atMs && call.endAtMs <= untilMs);
-	return lost.filter(passage => !isExcused(stop, passage) && !isCutFromOutside(records, stop, passage)).map(({call}) => ({
+	const lost = forwardedCalls.filter(({call, hosts}) => hosts.has(stop.host) && LOST_ENDS.has(call.end) && call.endAtMs > stop.atMs && call.endAtMs <= untilMs);
+	return lost.filter(forwardedCall => !isExcused(stop, forwardedCall) && !isCutFromOutside(records, stop, forwardedCall)).map(({call}) => ({
 		promise: 'stop',
 		subject: call.id,
 		message: describeLoss(stop, call),
@@ -90,7 +90,7 @@
 }
 
 /** The excuses of the rule, but for a worker that breaks off. */
-function isExcused(stop: HostStop, {call, runs}: Passage): boolean {
+function isExcused(stop: HostStop, {call, runs}: ForwardedCall): boolean {
 	const timeoutMs = Math.min(call.timeoutMs, ROUTE_TIMEOUTS_MS[call.kind] ?? Number.POSITIVE_INFINITY);
 	if (call.endAtMs >= call.sentAtMs + timeoutMs) {
 		return true;
@@ -101,7 +101,7 @@
 }
 
 /** Whether a fault of the run itself ended the call: a worker broke off, the link of the callers did, or the process of a host was killed or paused. */
-function isCutFromOutside({disturbances}: SoakRecords, stop: HostStop, {call, hosts, workers}: Passage): boolean {
+function isCutFromOutside({disturbances}: SoakRecords, stop: HostStop, {call, hosts, workers}: ForwardedCall): boolean {
 	return disturbances.some(({subject, endsCalls, fromMs, untilMs}) => {
 		// A process that was paused when it was told to stop has less time than the rule gives it.
 		const sinceMs = subject === stop.host ? Math.min(call.sentAtMs, stop.atMs) : call.sentAtMs;
