fix(daemon): a host that ends does not close pools that it has destroyed

Cause: since the end of a host has steps of its own, the pools to other hosts and workers are destroyed before the units are released; the list of hosts may change in that time, and what leaves it had its destroyed pool closed.

Change: destroyed pools to hosts are forgotten, those to workers are not closed again. The stack of the failure names Forwarder.retainPools; the pools of workers are the same cause, by reading. No test forces the order; hosts/several and faults/grace-period hold.

--- a/packages/daemon/src/peer/forward.ts
+++ b/packages/daemon/src/peer/forward.ts
@@ -82,7 +82,9 @@
 
 	/** Closes all connections; requests in flight fail. */
 	async destroy(): Promise<void> {
-		await Promise.all(Array.from(this.#pools.values(), async pool => pool.destroy()));
+		const pools = [...this.#pools.values()];
+		this.#pools.clear();
+		await Promise.all(pools.map(async pool => pool.destroy()));
 	}
 
 	#poolOf(peer: PeerAddress): Pool {
--- a/packages/daemon/src/upstream/worker-registry.ts
+++ b/packages/daemon/src/upstream/worker-registry.ts
@@ -132,7 +132,10 @@
 
 	#closeRemoved(link: WorkerLink): void {
 		this.#removed.delete(link);
-		void link.pool.close();
+		// The host list may still change while a host that stops releases its units.
+		if (!link.pool.destroyed) {
+			void link.pool.close();
+		}
 	}
 
 	#indexServices(): void {
