fix(steering): a slowdown is not multiplied by a service time that was never measured

Callers got 503 'late' from a host with an idle worker that answers in 2 ms.

Cause: a worker's slowdown is the ratio of a response's time to the expected one. Against 2 ms, one response that took 30 ms (a busy machine, a timer) gives a factor of 4.9. The estimate for an object that is not cached multiplied it by the cold time, which nothing had measured: the initial guess, 1.3 times the route's target, 1,040 ms here. 5 s are beyond every deadline, so all new objects were rejected; rejected requests measure nothing, so only the half-life of 2 s ended it. Ruled out: a full worker (one request at a time), the host's lag (the requests were rejected at placement, within a millisecond).

The part of the cold time that is left of the guess is kept apart and is not multiplied any more; what was measured is, as before, and a cold time is never below the warm one at that worker. Nothing else of the estimate has changed.

Test: placer, 'an idle worker that has served in milliseconds ...' fails before (rejected) and passes.

--- a/packages/steering/src/service-times.ts
+++ b/packages/steering/src/service-times.ts
@@ -28,6 +28,9 @@
 /** Ratio of cold to warm service time that must be exceeded for a measurement to show whether the object was cached. */
 const MIN_COLD_TO_WARM_RATIO = 2;
 
+/** Service times of a route; `guessMs` is the part of `coldMs` that is left of the initial guess. */
+type LearnedTimes = {warmMs: number; coldMs: number; guessMs: number};
+
 /** Slowdown factor of a worker when it was last updated. */
 type Slowdown = {factor: number; atMs: number};
 
@@ -37,7 +40,7 @@
  * identified by the hash of their id.
  */
 export class ServiceTimeEstimator {
-	readonly #timesByRouteAndService = new Map<string, {warmMs: number; coldMs: number}>();
+	readonly #timesByRouteAndService = new Map<string, LearnedTimes>();
 	readonly #slowdowns = new Map<number, Slowdown>();
 
 	/** Warm and cold service times by route and service, rounded to ms, for the log. */
@@ -50,6 +53,14 @@
 		return this.#timesFor(route, service);
 	}
 
+	/** Expected service times of a route at a worker, with its slowdown. */
+	estimateAt(worker: number, route: Route, service: string, nowMs: number): ExpectedTimes {
+		const {warmMs, coldMs, guessMs} = this.#timesFor(route, service);
+		const slowdown = this.getSlowdown(worker, nowMs);
+		// The slowdown was measured against the warm time; times the guess it would reject requests, which then could not correct it.
+		return {warmMs: warmMs * slowdown, coldMs: Math.max(warmMs * slowdown, guessMs + ((coldMs - guessMs) * slowdown))};
+	}
+
 	/**
 	 * Records the time of an answered request.
 	 * @param cacheState expected state of the object in the worker's cache.
@@ -70,6 +81,7 @@
 			times.warmMs += (responseMs - times.warmMs) * TIME_SMOOTHING;
 		} else {
 			times.coldMs += (responseMs - times.coldMs) * TIME_SMOOTHING;
+			times.guessMs *= 1 - TIME_SMOOTHING;
 		}
 
 		return times.coldMs > times.warmMs * MIN_COLD_TO_WARM_RATIO ? wasCached : undefined;
@@ -104,11 +116,12 @@
 		this.#slowdowns.set(worker, {factor: Math.max(MIN_SLOWDOWN, factor), atMs: nowMs});
 	}
 
-	#timesFor({name, targetMs}: Route, service: string): {warmMs: number; coldMs: number} {
+	#timesFor({name, targetMs}: Route, service: string): LearnedTimes {
 		const key = `${name} ${service}`;
 		let times = this.#timesByRouteAndService.get(key);
 		if (!times) {
-			times = {warmMs: targetMs * INITIAL_WARM_RATIO, coldMs: targetMs * INITIAL_COLD_RATIO};
+			const guessMs = targetMs * INITIAL_COLD_RATIO;
+			times = {warmMs: targetMs * INITIAL_WARM_RATIO, coldMs: guessMs, guessMs};
 			this.#timesByRouteAndService.set(key, times);
 		}
 
--- a/packages/steering/src/worker-estimator.ts
+++ b/packages/steering/src/worker-estimator.ts
@@ -40,15 +40,14 @@
 	/** Estimates the result of sending the request to the worker now. */
 	estimate({route, service, objectHash, targetAtMs, deadlineAtMs}: PlacementRequest, worker: Worker, nowMs: number): WorkerEstimate {
 		const {load, objectCaches, serviceTimes, health, roundTrips} = this.deps;
-		const {warmMs, coldMs} = serviceTimes.estimate(route, service);
+		const {warmMs, coldMs} = serviceTimes.estimateAt(worker.hash, route, service, nowMs);
 		const reuseDistance = objectHash === undefined ? undefined : objectCaches.getReuseDistance(worker.hash, objectHash);
 		const cacheState = objectHash === undefined ? CacheState.Cached : objectCaches.classify(service, reuseDistance);
 		const isCached = cacheState !== CacheState.NotCached;
-		const slowdown = serviceTimes.getSlowdown(worker.hash, nowMs);
 		const totalLoad = load.estimateTotal(worker.hash, nowMs);
-		const waitMs = Math.max(0, totalLoad + 1 - worker.registration.slots) * warmMs * slowdown / worker.registration.slots;
-		const serviceAndNetworkMs = ((isCached ? warmMs : coldMs) * slowdown) + roundTrips.get(worker.region);
-		const errorPenaltyMs = health.getErrorRate(worker.hash) * coldMs;
+		const waitMs = Math.max(0, totalLoad + 1 - worker.registration.slots) * warmMs / worker.registration.slots;
+		const serviceAndNetworkMs = (isCached ? warmMs : coldMs) + roundTrips.get(worker.region);
+		const errorPenaltyMs = health.getErrorRate(worker.hash) * serviceTimes.estimate(route, service).coldMs;
 		return {
 			worker,
 			cacheState,
--- a/test/steering/placer.test.ts
+++ b/test/steering/placer.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {SeededRandom} from '@apricotwood/clock';
 import {
-	AttemptOutcome, PlacementAction, PlacementReason, RequestKind, type PlacementRequest, type WorkerRegistration,
+	AttemptOutcome, CacheState, PlacementAction, PlacementReason, RequestKind, type PlacementRequest, type WorkerRegistration,
 } from '@apricotwood/steering';
 import {
 	makePlacer, makeRequest, makeRoute, makeWorker,
@@ -128,6 +128,23 @@
 	}
 });
 
+// Its slowdown was multiplied by the initial guess of the time for an object that is not cached; rejected requests could not correct it.
+test('placer: an idle worker that has served in milliseconds is not too slow for a new object after responses of 30 and 60 ms', () => {
+	const parts = makePlacer([makeWorker('w')]);
+	const {hash} = parts.fleet.get('w')!;
+	for (let index = 0; index < 100; index++) {
+		parts.serviceTimes.record(makeRoute(), 'board', hash, CacheState.NotCached, 2, 0, 0);
+	}
+
+	for (const responseMs of [30, 60]) {
+		parts.serviceTimes.record(makeRoute(), 'board', hash, CacheState.NotCached, responseMs, 0, 0);
+		assert.equal(parts.placer.place(makeRequest(), 10).action, PlacementAction.Send);
+	}
+
+	// What the slowdown was measured against is estimated with it.
+	assert.ok(parts.serviceTimes.estimateAt(hash, makeRoute(), 'board', 10).warmMs > parts.serviceTimes.estimate(makeRoute(), 'board').warmMs * 2);
+});
+
 test('placer: workers outside the home regions, excluded and unhealthy workers get no requests', () => {
 	const parts = makePlacer(SIX_WORKERS);
 	const inB = parts.placer.place(makeRequest({route: makeRoute({homeRegions: ['b']})}), 0);
