--- a/packages/entry/src/host/caller-service.ts
+++ b/packages/entry/src/host/caller-service.ts
@@ -7,6 +7,7 @@
 import type {Dialect} from '../dialect.js';
 import type {MemberList} from '../peer/members.js';
 import {Ingress} from '../request/ingress.js';
+import {HeldBytes} from '../request/long-body.js';
 import {RequestForwarder} from '../request/request-forwarder.js';
 import {RetryDetector} from '../request/retry-detector.js';
 import type {RunningAttempt, SessionDeps} from '../request/session-deps.js';
@@ -74,6 +75,7 @@
 		retryBudget: new RetryBudget(deps.retryBudget),
 		trafficSplitter: new TrafficSplitter(),
 		retryDetector: new RetryDetector(),
+		heldBytes: new HeldBytes(),
 		waiting: deps.waiting,
 		running: deps.running,
 		reportInterval: deps.reportInterval,
--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -1,4 +1,4 @@
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {Readable} from 'node:stream';
 import {
@@ -12,7 +12,7 @@
 import type {ConnectionUse} from '../upstream/pool.js';
 import type {Member} from '../peer/members.js';
 import {hasBrokenConnection, recordOutcome} from './attempt-outcome.js';
-import {BodyReadResult, streamBody, type RequestBody} from './body.js';
+import {streamBody, type RequestBody} from './body.js';
 import type {RequestFingerprint} from './fingerprint.js';
 import type {PeerSender} from './request-forwarder.js';
 import {FORWARDED_HEADER, copyRequestHeaders} from './headers.js';
@@ -28,6 +28,10 @@
 const FORWARD_REASON = 'forward';
 /** Logged end of an attempt that was cancelled at the deadline. */
 const TIMEOUT_END = 'timeout';
+/** Result of an attempt that was cancelled before it began. */
+const WITHDRAWN: ExchangeResult = {
+	end: ExchangeEnd.Withdrawn, mayHaveRun: false, isReusable: false, head: undefined, body: Buffer.alloc(0), message: 'request was cancelled before it was sent',
+};
 
 /** Log record of one attempt at a worker; the field names are part of the log format. */
 export type AttemptRecord = {
@@ -59,6 +63,7 @@
 export class AttemptSender implements PeerSender {
 	readonly records: AttemptRecord[] = [];
 	#exchange: Exchange | undefined;
+	#isCancelled = false;
 	#mayHaveRun = false;
 	#brokenAttempts = 0;
 
@@ -74,8 +79,9 @@
 		return this.#brokenAttempts;
 	}
 
-	/** Cancels the attempt in progress. Its connection is reset; otherwise buffered request bytes could still be delivered to the worker. */
+	/** Cancels the attempt in progress, and any later one. Its connection is reset; otherwise buffered request bytes could still be delivered to the worker. */
 	cancel(): void {
+		this.#isCancelled = true;
 		this.#exchange?.cancel();
 	}
 
@@ -199,6 +205,14 @@
 	/** Runs an exchange, at the latest until the deadline of the request. @param graceMs time after the deadline for the other end to respond if it has received the request. */
 	async #runInTime(exchange: Exchange, record: AttemptRecord, graceMs: number): Promise<ExchangeResult> {
 		const {clock} = this.deps;
+		const {rest} = this.request.body ?? {};
+		if (rest) {
+			await rest.readArrived();
+			if (this.#isCancelled) {
+				return WITHDRAWN;
+			}
+		}
+
 		this.#exchange = exchange;
 		const abortOnTimeout = () => {
 			record.end = TIMEOUT_END;
@@ -235,16 +249,12 @@
 	#createLengthHeader(): string[] {
 		const {req, body} = this.request;
 		const length = req.headers['content-length'];
-		return body?.result === BodyReadResult.Unbuffered && length !== undefined ? ['content-length', length] : [];
+		return body?.rest && length !== undefined ? ['content-length', length] : [];
 	}
 
 	#createUpstreamBody(): Buffer | Readable | undefined {
-		const {req, body} = this.request;
-		if (body?.result === BodyReadResult.Unbuffered) {
-			return Readable.from(streamBody(body.bytes, req, this.deps.maxBodyBytes()), {objectMode: false});
-		}
-
-		return body?.bytes;
+		const {body} = this.request;
+		return body?.rest ? Readable.from(streamBody(body.bytes, body.rest), {objectMode: false}) : body?.bytes;
 	}
 
 	#recordEnd(record: AttemptRecord, result: ExchangeResult, startAtMs: number): void {
--- a/packages/entry/src/request/body.ts
+++ b/packages/entry/src/request/body.ts
@@ -1,11 +1,12 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
+import {LongBody, type HeldBytes} from './long-body.js';
 
 /** Result of reading a request body. */
 export enum BodyReadResult {
 	/** The complete body was read. */
 	Complete = 'complete',
-	/** Longer than the buffer limit; the rest is still to be read from the request. */
+	/** Longer than the buffer limit; the rest is read while the request waits or is sent. */
 	Unbuffered = 'unbuffered',
 	/** Longer than the maximum body size that callers may send. */
 	TooLong = 'too-long',
@@ -18,6 +19,8 @@
 	readonly result: BodyReadResult;
 	/** Bytes that have been read. */
 	readonly bytes: Buffer;
+	/** What follows these bytes, if the body is too long to be buffered; to be released when the request has ended. */
+	readonly rest?: LongBody;
 };
 
 /** Largest body, in bytes, that is buffered before a worker is chosen; a buffered body can be sent again by a retry. */
@@ -28,15 +31,19 @@
 	return headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
 }
 
-/** Reads a body up to the buffer limit. @param maxBytes maximum body size that callers may send, bytes. */
-export async function readBody(req: IncomingMessage, maxBytes: number): Promise<RequestBody> {
+/**
+ * Reads a body up to the buffer limit.
+ * @param maxBytes maximum body size that callers may send, bytes.
+ * @param held counts what the host holds of longer bodies.
+ */
+export async function readBody(req: IncomingMessage, maxBytes: number, held: HeldBytes): Promise<RequestBody> {
 	const length = Number(req.headers['content-length'] ?? 0);
 	if (length > maxBytes) {
 		return {result: BodyReadResult.TooLong, bytes: Buffer.alloc(0)};
 	}
 
 	if (length > MAX_BUFFERED_BODY_BYTES) {
-		return {result: BodyReadResult.Unbuffered, bytes: Buffer.alloc(0)};
+		return {result: BodyReadResult.Unbuffered, bytes: Buffer.alloc(0), rest: new LongBody(req, 0, maxBytes, held)};
 	}
 
 	const chunks: Buffer[] = [];
@@ -46,11 +53,7 @@
 			req.off('data', onData);
 			req.off('end', onEnd);
 			req.off('close', onClose);
-			if (result === BodyReadResult.Unbuffered) {
-				req.pause();
-			}
-
-			resolve({result, bytes: Buffer.concat(chunks)});
+			resolve({result, bytes: Buffer.concat(chunks), ...(result === BodyReadResult.Unbuffered && {rest: new LongBody(req, bytes, maxBytes, held)})});
 		};
 
 		const onData = (chunk: Buffer) => {
@@ -77,24 +80,11 @@
 	});
 }
 
-/**
- * Streams a long body: the part that has been read, then the rest as it arrives.
- * @param prefix bytes that have been read.
- * @param maxBytes maximum body size that callers may send, bytes.
- * @throws if the body exceeds the limit.
- */
-export async function * streamBody(prefix: Buffer, req: IncomingMessage, maxBytes: number): AsyncGenerator<Buffer> {
-	let receivedBytes = prefix.length;
+/** Streams a long body: the part that has been read, then the rest as it arrives. @throws as `LongBody.stream`. */
+export async function * streamBody(prefix: Buffer, rest: LongBody): AsyncGenerator<Buffer> {
 	if (prefix.length > 0) {
 		yield prefix;
 	}
 
-	for await (const chunk of req.iterator({destroyOnReturn: false})) {
-		receivedBytes += (chunk as Buffer).length;
-		if (receivedBytes > maxBytes) {
-			throw new Error(`request body exceeds the limit of ${maxBytes} bytes`);
-		}
-
-		yield chunk as Buffer;
-	}
+	yield * rest.stream();
 }
--- a/packages/entry/src/request/session-deps.ts
+++ b/packages/entry/src/request/session-deps.ts
@@ -8,6 +8,7 @@
 import type {ConnectionPool} from '../upstream/pool.js';
 import type {WorkerFeedback} from '../upstream/worker-feedback.js';
 import type {CrashGuard} from './crash-guard.js';
+import type {HeldBytes} from './long-body.js';
 import type {RequestForwarder} from './request-forwarder.js';
 import type {RetryDetector} from './retry-detector.js';
 import type {ShutdownReport} from './shutdown-report.js';
@@ -53,6 +54,8 @@
 	readonly running: Set<RunningAttempt>;
 	readonly reportInterval: ReportInterval;
 	readonly maxBodyBytes: () => number;
+	/** What this host holds of long bodies. */
+	readonly heldBytes: HeldBytes;
 	/** Returns the upper bound of idle connections to each worker of a service. */
 	readonly maxIdleConnections: (service: string) => number;
 	/** Returns the number of all known hosts, including this one and hosts that no longer run; the connection limit of workers and the fixed part of the retry budget are divided by it. */
--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -97,19 +97,23 @@
 				onCallerLeft();
 			}
 		});
-		const body = hasBody(this.req) ? await readBody(this.req, this.deps.maxBodyBytes()) : undefined;
+		const body = hasBody(this.req) ? await readBody(this.req, this.deps.maxBodyBytes(), this.deps.heldBytes) : undefined;
 		const rejection = this.#checkBody(body);
 		if (rejection) {
 			this.#finish(rejection);
 			return;
 		}
 
-		await this.#detectDeparture();
-		if (!this.isForwarded) {
-			retryBudget.recordRequest(this.#service, clock.monotonic());
-		}
+		try {
+			await this.#detectDeparture();
+			if (!this.isForwarded) {
+				retryBudget.recordRequest(this.#service, clock.monotonic());
+			}
 
-		this.#finish(this.#hasCallerLeft ? undefined : await this.#serve(body));
+			this.#finish(this.#hasCallerLeft ? undefined : await this.#serve(body));
+		} finally {
+			body?.rest?.release();
+		}
 	}
 
 	/** Notices a caller that has left although this host, while it lags, has not read the end of the connection yet. */
