--- a/packages/clock/src/index.ts
+++ b/packages/clock/src/index.ts
@@ -1,3 +1,4 @@
+export {waitForAbort} from './abort.js';
 export {
 	SystemClock, sleep, type Clock, type Timer,
 } from './clock.js';
--- a/packages/daemon/src/host/host.ts
+++ b/packages/daemon/src/host/host.ts
@@ -1,6 +1,6 @@
 import {randomBytes} from 'node:crypto';
 import {DrainKind, type AgreementState} from '@apricotwood/agreement';
-import {sleep} from '@apricotwood/clock';
+import {sleep, waitForAbort} from '@apricotwood/clock';
 import {Supervisor, type Child} from '@apricotwood/supervisor';
 import {VERSION_PREFIX, type VersionRecord} from '../control/agreement.js';
 import {type HostDigest} from '../control/digest.js';
@@ -12,7 +12,7 @@
 import {assembleHost, type HostDeps, type HostComponents} from './components.js';
 import {ExitSequence} from './exit-sequence.js';
 import {HostEvent, HostLifecycle, HostPhase} from './phase.js';
-import {Shutdown, waitForAbort} from './shutdown.js';
+import {Shutdown} from './shutdown.js';
 import {computeShutdownSchedule} from './shutdown-schedule.js';
 
 /** Time between two refreshes of the host directory, ms. */
--- a/packages/daemon/src/host/shutdown.ts
+++ b/packages/daemon/src/host/shutdown.ts
@@ -1,4 +1,4 @@
-import {sleep, type Clock} from '@apricotwood/clock';
+import {sleep, waitForAbort, type Clock} from '@apricotwood/clock';
 import type {Log} from '@apricotwood/telemetry';
 import type {InFlightRequests} from '../request/in-flight-requests.js';
 import type {StopDeadline} from '../request/stop-deadline.js';
@@ -77,16 +77,3 @@
 		await Promise.race([announceAndWait(), sleep(clock, schedule.closeAfterMs)]);
 	}
 }
-
-/** Resolves when a signal is aborted. */
-export async function waitForAbort(signal: AbortSignal): Promise<void> {
-	if (signal.aborted) {
-		return;
-	}
-
-	await new Promise<void>(resolve => {
-		signal.addEventListener('abort', () => {
-			resolve();
-		}, {once: true});
-	});
-}
--- a/packages/entry/src/host/shutdown.ts
+++ b/packages/entry/src/host/shutdown.ts
@@ -1,4 +1,4 @@
-import {sleep, type Clock} from '@apricotwood/clock';
+import {sleep, waitForAbort, type Clock} from '@apricotwood/clock';
 import type {ShutdownDeadline} from '@apricotwood/steering';
 import type {Log} from '@apricotwood/telemetry';
 import type {Ingress} from '../request/ingress.js';
@@ -76,15 +76,3 @@
 	ingress.reset();
 	log.info({event: 'left', running, tookMs: Math.round(clock.monotonic() - startAtMs), ...report.counts});
 }
-
-async function waitForAbort(signal: AbortSignal): Promise<void> {
-	await new Promise<void>(resolve => {
-		if (signal.aborted) {
-			resolve();
-		}
-
-		signal.addEventListener('abort', () => {
-			resolve();
-		}, {once: true});
-	});
-}
