refactor(steering): one shutdown deadline for entry hosts and daemons, with its margin as an option

The class now takes the margin; each host keeps its own. The daemon's options are named `shutdownDeadline` as everywhere else. The soak's defects replace text of the class and follow it. No change of behaviour.

The assertions that stood stay.

--- a/packages/daemon/src/host/components.ts
+++ b/packages/daemon/src/host/components.ts
@@ -2,6 +2,7 @@
 import {type Clock, type Random} from '@apricotwood/clock';
 import {Holdings} from '@apricotwood/ledger';
 import {ClaimRegistry, IdempotencyStore, TicketSigner} from '@apricotwood/once';
+import {ShutdownDeadline} from '@apricotwood/steering';
 import {ResilientPlatform, type Platform} from '@apricotwood/store';
 import type {LineSink, Log, Metrics} from '@apricotwood/telemetry';
 import {AgreementReplica, VERSION_PREFIX, type VersionRecord} from '../control/agreement.js';
@@ -27,7 +28,6 @@
 import {Placer} from '../request/placer.js';
 import {Replier} from '../request/replier.js';
 import {StallDetector} from '../request/stall-detector.js';
-import {StopDeadline} from '../request/stop-deadline.js';
 import {OperatorApi} from '../server/operator.js';
 import {createHostServer} from '../server/server.js';
 import type {Settings} from '../settings/schema.js';
@@ -36,6 +36,9 @@
 import {type HostLifecycle, HostPhase} from './phase.js';
 import {createClaimStore} from './claim-store.js';
 
+/** Time after its deadline by which a request has ended in any case, ms. */
+const RESPONSE_MARGIN_MS = 200;
+
 /** Settings and external dependencies of a host. */
 export type HostDeps = {
 	readonly settings: Settings;
@@ -92,10 +95,10 @@
 	const workers = new WorkerRegistry({
 		clock, holdings, region: settings.region, stallMs: request.stallMs, log, metrics,
 	});
-	const stopDeadline = new StopDeadline();
+	const shutdownDeadline = new ShutdownDeadline({marginMs: RESPONSE_MARGIN_MS});
 	const inFlight = new InFlightRequests();
 	const admission = new Admission({
-		clock, holdings, workers, region: settings.region, zone: settings.zone, stopDeadline, ...request,
+		clock, holdings, workers, region: settings.region, zone: settings.zone, shutdownDeadline, ...request,
 	});
 	const auth = new PeerAuth(clusterKey, clock);
 	const signer = new TicketSigner(clusterKey);
@@ -141,10 +144,10 @@
 		clock, memory, signer, claims: new ClaimRegistry(claimStore), hostId: settings.id, incarnation: identity.incarnation,
 	});
 	const replier = new Replier({
-		log, metrics, peers: directory, stopDeadline,
+		log, metrics, peers: directory, shutdownDeadline,
 	});
 	const requestDeps = {
-		clock, log, metrics, gate, replier, admission, pacings, peers: directory, stalls, stopDeadline, maxBufferedBytes: request.maxBufferedBytes,
+		clock, log, metrics, gate, replier, admission, pacings, peers: directory, stalls, shutdownDeadline, maxBufferedBytes: request.maxBufferedBytes,
 	};
 	const placer = new Placer({
 		...requestDeps,
@@ -195,6 +198,6 @@
 	});
 
 	return {
-		guard, feed, agreement, membership, ledger, workers, admission, pacings, demand, directory, inFlight, stopDeadline, gossip, fence, forwarder, peerClient, stalls, holdings, server,
+		guard, feed, agreement, membership, ledger, workers, admission, pacings, demand, directory, inFlight, shutdownDeadline, gossip, fence, forwarder, peerClient, stalls, holdings, server,
 	};
 }
--- a/packages/daemon/src/host/host.ts
+++ b/packages/daemon/src/host/host.ts
@@ -328,13 +328,13 @@
 
 	#createShutdown(mustEnd: AbortSignal): Shutdown {
 		const {clock, log, settings} = this.deps;
-		const {inFlight, stopDeadline, admission, directory} = this.#components;
+		const {inFlight, shutdownDeadline, admission, directory} = this.#components;
 		return new Shutdown({
 			clock,
 			log,
 			lifecycle: this.lifecycle,
 			inFlight,
-			deadline: stopDeadline,
+			deadline: shutdownDeadline,
 			schedule: computeShutdownSchedule(settings.shutdown.graceMs),
 			lookupTtlMs: settings.lookup.ttlMs,
 			rejectLate() {
--- a/packages/daemon/src/host/shutdown.ts
+++ b/packages/daemon/src/host/shutdown.ts
@@ -1,7 +1,7 @@
 import {sleep, waitForAbort, type Clock} from '@apricotwood/clock';
+import type {ShutdownDeadline} from '@apricotwood/steering';
 import type {Log} from '@apricotwood/telemetry';
 import type {InFlightRequests} from '../request/in-flight-requests.js';
-import type {StopDeadline} from '../request/stop-deadline.js';
 import {HostEvent, HostPhase, type HostLifecycle} from './phase.js';
 import type {ShutdownSchedule} from './shutdown-schedule.js';
 
@@ -14,7 +14,7 @@
 	readonly log: Log;
 	readonly lifecycle: HostLifecycle;
 	readonly inFlight: InFlightRequests;
-	readonly deadline: StopDeadline;
+	readonly deadline: ShutdownDeadline;
 	readonly schedule: ShutdownSchedule;
 	/** Time for which callers keep a lookup result, ms. */
 	readonly lookupTtlMs: number;
--- a/packages/daemon/src/request/admission.ts
+++ b/packages/daemon/src/request/admission.ts
@@ -9,11 +9,11 @@
 import {
 	computeAgeMs, chooseWorker, createWorkerPolicy, type WorkerChoice, type WorkerPolicy, type WorkerView,
 } from '@apricotwood/routing';
+import type {ShutdownDeadline} from '@apricotwood/steering';
 import type {WorkerLink} from '../upstream/worker-link.js';
 import type {WorkerRegistry} from '../upstream/worker-registry.js';
 import {RejectionCode, rejectRetryable, type Rejection} from './rejection.js';
 import type {RequestContext} from './context.js';
-import type {StopDeadline} from './stop-deadline.js';
 
 /** Worker and resource units reserved for one attempt. */
 export type Placement = {
@@ -46,7 +46,7 @@
 	readonly workers: WorkerRegistry;
 	readonly region: string;
 	readonly zone: string;
-	readonly stopDeadline: StopDeadline;
+	readonly shutdownDeadline: ShutdownDeadline;
 	/** Maximum number of waiting requests per service. */
 	readonly maxQueue: number;
 	/** Maximum time in the queue, ms. */
@@ -126,7 +126,7 @@
 
 	/** Reserves a worker that is not excluded and all claimed units for one attempt, without waiting. */
 	place(ctx: RequestContext, claims: readonly ResourceClaim[], excluded?: ReadonlySet<string>): PlacementResult {
-		if (!this.options.stopDeadline.allows(ctx)) {
+		if (!this.options.shutdownDeadline.allows(ctx)) {
 			return {ok: false, blockedBy: RejectionCode.Stopping};
 		}
 
@@ -157,8 +157,8 @@
 
 	/** Waits in the service's queue until the request is placed or blocked by a member limit, its deadline or the maximum wait passes, or `signal` is aborted. */
 	async waitForPlacement(ctx: RequestContext, claims: readonly ResourceClaim[], signal: AbortSignal): Promise<PlacementResult> {
-		const {clock, stopDeadline} = this.options;
-		if (!stopDeadline.allows(ctx)) {
+		const {clock, shutdownDeadline} = this.options;
+		if (!shutdownDeadline.allows(ctx)) {
 			return {ok: false, blockedBy: RejectionCode.Stopping};
 		}
 
@@ -183,7 +183,7 @@
 	/** Ends the wait of the requests that this host does not start any more. */
 	rejectLate(): void {
 		for (const [ctx, late] of this.#waiting) {
-			if (!this.options.stopDeadline.allows(ctx)) {
+			if (!this.options.shutdownDeadline.allows(ctx)) {
 				late.abort();
 			}
 		}
--- a/packages/daemon/src/request/dispatcher.ts
+++ b/packages/daemon/src/request/dispatcher.ts
@@ -3,6 +3,7 @@
 import {RepeatPolicy, TOTAL_DEMAND_GROUP, memberDemandGroup, serviceDemandGroup} from '@apricotwood/agreement';
 import {readPendingInput, type Clock} from '@apricotwood/clock';
 import {Outcome} from '@apricotwood/once';
+import type {ShutdownDeadline} from '@apricotwood/steering';
 import type {Log, Metrics} from '@apricotwood/telemetry';
 import type {DemandTracker} from '../control/demand.js';
 import type {HostLifecycle} from '../host/phase.js';
@@ -23,7 +24,6 @@
 import type {Placer} from './placer.js';
 import type {Replier} from './replier.js';
 import type {StallDetector} from './stall-detector.js';
-import type {StopDeadline} from './stop-deadline.js';
 
 /** Assumed run time of a request while no latency has been measured, ms. */
 const ASSUMED_LATENCY_MS = 100;
@@ -44,7 +44,7 @@
 	readonly demand: DemandTracker;
 	readonly stalls: StallDetector;
 	readonly inFlight: InFlightRequests;
-	readonly stopDeadline: StopDeadline;
+	readonly shutdownDeadline: ShutdownDeadline;
 	/** Maximum size of a buffered request body, bytes. */
 	readonly maxBufferedBytes: number;
 	/** Whether the log buffer is full. */
@@ -161,7 +161,7 @@
 	async #serveLocally(ctx: RequestContext, cancellation: Cancellation): Promise<void> {
 		const needsDeduplication = this.deps.gate.needsBody(ctx) || (ctx.repeat === RepeatPolicy.Upload && ctx.headers.requestId !== undefined);
 		// Whether a request with an id has run before is known only after its body has been read.
-		if (!needsDeduplication && !this.deps.stopDeadline.allows(ctx)) {
+		if (!needsDeduplication && !this.deps.shutdownDeadline.allows(ctx)) {
 			this.deps.replier.reply(ctx.res, rejectStopping(), ctx);
 			return;
 		}
--- a/packages/daemon/src/request/placer.ts
+++ b/packages/daemon/src/request/placer.ts
@@ -4,6 +4,7 @@
 import type {Clock} from '@apricotwood/clock';
 import type {ResourceClaim} from '@apricotwood/ledger';
 import {Outcome, RequestState, type IdempotencyStore} from '@apricotwood/once';
+import type {ShutdownDeadline} from '@apricotwood/steering';
 import type {Log, Metrics} from '@apricotwood/telemetry';
 import type {Fence} from '../control/fence.js';
 import type {ForwardResult, Forwarder, PeerAddress} from '../peer/forward.js';
@@ -19,7 +20,6 @@
 import type {PeerSelector} from './peers.js';
 import type {Replier} from './replier.js';
 import type {StallDetector} from './stall-detector.js';
-import type {StopDeadline} from './stop-deadline.js';
 
 /** Dependencies of {@link Placer}. */
 export type PlacerDeps = {
@@ -35,7 +35,7 @@
 	readonly peers: PeerSelector;
 	readonly stalls: StallDetector;
 	readonly replier: Replier;
-	readonly stopDeadline: StopDeadline;
+	readonly shutdownDeadline: ShutdownDeadline;
 	readonly hostId: string;
 	readonly region: string;
 	/** Maximum size of a buffered request body and of a stored response, bytes. */
@@ -71,7 +71,7 @@
 		cancellation: Cancellation,
 		run: DeduplicatedRun | undefined,
 	): Promise<void> {
-		if (!this.deps.stopDeadline.allows(ctx)) {
+		if (!this.deps.shutdownDeadline.allows(ctx)) {
 			this.#rejectRun(ctx, rejectStopping(), run);
 			return;
 		}
@@ -253,7 +253,7 @@
 
 	/** Forwards a request to one peer; resolves when the peer's response is complete or forwarding failed. */
 	async forward(ctx: RequestContext, peer: PeerAddress, body: Buffer | IncomingMessage | undefined, reason: string, cancellation: Cancellation): Promise<ForwardResult> {
-		if (!this.deps.stopDeadline.allows(ctx)) {
+		if (!this.deps.shutdownDeadline.allows(ctx)) {
 			return {mayHaveReachedPeer: false, refusal: rejectStopping(), peerRoom: undefined};
 		}
 
--- a/packages/daemon/src/request/replier.ts
+++ b/packages/daemon/src/request/replier.ts
@@ -1,9 +1,9 @@
 import type {ServerResponse} from 'node:http';
+import type {ShutdownDeadline} from '@apricotwood/steering';
 import type {Log, Metrics} from '@apricotwood/telemetry';
 import {sendRejection} from './response.js';
 import type {Rejection} from './rejection.js';
 import type {RequestContext} from './context.js';
-import type {StopDeadline} from './stop-deadline.js';
 import type {PeerSelector} from './peers.js';
 
 /** Dependencies of {@link Replier}. */
@@ -11,7 +11,7 @@
 	readonly log: Log;
 	readonly metrics: Metrics;
 	readonly peers: PeerSelector;
-	readonly stopDeadline: StopDeadline;
+	readonly shutdownDeadline: ShutdownDeadline;
 };
 
 /** Sends rejections to callers, with a log line and metrics for each. */
@@ -20,7 +20,7 @@
 
 	/** Sends a rejection with alternative hosts, if the service is known, and logs and counts it. */
 	reply(res: ServerResponse, rejection: Rejection, ctx: RequestContext | undefined): void {
-		const {log, metrics, peers, stopDeadline} = this.deps;
+		const {log, metrics, peers, shutdownDeadline} = this.deps;
 		metrics.count(`outcome.${rejection.outcome}`);
 		metrics.count(`code.${rejection.code}`);
 		log.info({
@@ -33,7 +33,7 @@
 			retryAfterMs: rejection.retryAfterMs,
 			reason: rejection.message,
 		});
-		if (stopDeadline.isSet) {
+		if (shutdownDeadline.isSet) {
 			res.shouldKeepAlive = false;
 		}
 
--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -59,6 +59,8 @@
 
 /** Capacity of the waiting list; further requests that find no free worker are rejected. */
 const MAX_WAITING_REQUESTS = 300;
+/** Time after its deadline by which a request has ended in any case, also when another host answers it, ms. */
+const RESPONSE_MARGIN_MS = 300;
 /** Time for the supervised tasks to end after all requests have ended, ms. One that does not, for example because a connection is being opened, does not hold up the process. */
 const TASKS_END_TIMEOUT_MS = 100;
 
@@ -81,7 +83,7 @@
 	readonly #reportInterval = new ReportInterval();
 	readonly #waiting = new WaitingRequests<() => void>(MAX_WAITING_REQUESTS);
 	readonly #running = new Set<RunningAttempt>();
-	readonly #shutdownDeadline = new ShutdownDeadline();
+	readonly #shutdownDeadline = new ShutdownDeadline({marginMs: RESPONSE_MARGIN_MS});
 	readonly #shutdownReport: ShutdownReport;
 	readonly #waitingRetrier: WaitingRetrier;
 
--- a/packages/experiment/src/host.ts
+++ b/packages/experiment/src/host.ts
@@ -90,7 +90,7 @@
 			}),
 			warmupLimiter: new WarmupLimiter(hashText(zone)),
 			rateLimiter,
-			shutdownDeadline: new ShutdownDeadline(),
+			shutdownDeadline: new ShutdownDeadline({marginMs: 0}),
 			roundTrips: this.#distances,
 			countHosts: () => 1,
 			warmupPerSecond: () => undefined,
--- a/packages/soak/src/breakages.ts
+++ b/packages/soak/src/breakages.ts
@@ -89,15 +89,15 @@
 	},
 	'starts-late': {
 		file: 'packages/steering/src/shutdown-deadline.ts',
-		from: 'deadlineAtMs + RESPONSE_GRACE_MS <= this.#endAtMs',
+		from: 'deadlineAtMs + this.#marginMs <= this.#endAtMs',
 		to: 'deadlineAtMs > 0',
 		promise: 'stop',
 	},
 	'starts-by-estimate': {
 		file: 'packages/steering/src/shutdown-deadline.ts',
-		from: 'deadlineAtMs + RESPONSE_GRACE_MS <= this.#endAtMs',
+		from: 'deadlineAtMs + this.#marginMs <= this.#endAtMs',
 		// A request takes 40 ms as far as anyone knows.
-		to: 'Math.min(deadlineAtMs, performance.now() + 40) + RESPONSE_GRACE_MS <= this.#endAtMs',
+		to: 'Math.min(deadlineAtMs, performance.now() + 40) + this.#marginMs <= this.#endAtMs',
 		promise: 'stop',
 	},
 	'leaves-at-once': {
--- a/packages/steering/src/shutdown-deadline.ts
+++ b/packages/steering/src/shutdown-deadline.ts
@@ -1,5 +1,8 @@
-/** Time after its deadline by which a request has ended in any case, ms. */
-const RESPONSE_GRACE_MS = 300;
+/** Options of a {@link ShutdownDeadline}. */
+export type ShutdownDeadlineOptions = {
+	/** Time after its deadline by which a request has ended in any case, ms. */
+	readonly marginMs: number;
+};
 
 /**
  * The time at which this host ends, and which requests it may still start. A request
@@ -9,8 +12,22 @@
  * short because their objects were cached or their bodies small.
  */
 export class ShutdownDeadline {
+	readonly #marginMs: number;
 	#endAtMs = Number.POSITIVE_INFINITY;
 
+	constructor({marginMs}: ShutdownDeadlineOptions) {
+		this.#marginMs = marginMs;
+	}
+
+	/** Time at which what is in flight is reset, monotonic ms; infinite until `set` is called. */
+	get endAtMs(): number {
+		return this.#endAtMs;
+	}
+
+	get isSet(): boolean {
+		return this.#endAtMs !== Number.POSITIVE_INFINITY;
+	}
+
 	/** Sets the time at which the host ends, monotonic ms. */
 	set(endAtMs: number): void {
 		this.#endAtMs = endAtMs;
@@ -23,6 +40,6 @@
 
 	/** Whether a request that is started now has ended before the host. @param deadlineAtMs deadline of the request, monotonic ms. */
 	allows({deadlineAtMs}: {readonly deadlineAtMs: number}): boolean {
-		return deadlineAtMs + RESPONSE_GRACE_MS <= this.#endAtMs;
+		return deadlineAtMs + this.#marginMs <= this.#endAtMs;
 	}
 }
--- a/test/entry/request-forwarder.test.ts
+++ b/test/entry/request-forwarder.test.ts
@@ -23,7 +23,7 @@
 /** A request for the service `board`. */
 const REQUEST: ForwardableRequest = {route: makeRoute(), service: 'board', deadlineAtMs: Number.MAX_SAFE_INTEGER};
 
-function createForwarder({clock}: ClusterSimulation, {isolation, entry: {region}}: SimulatedHost, shutdownDeadline = new ShutdownDeadline()): RequestForwarder {
+function createForwarder({clock}: ClusterSimulation, {isolation, entry: {region}}: SimulatedHost, shutdownDeadline = new ShutdownDeadline({marginMs: 300})): RequestForwarder {
 	return new RequestForwarder({
 		clock, random: new SeededRandom(1), reachability: new ReachabilityTracker(), isolation, shutdownDeadline, region,
 	});
@@ -107,7 +107,7 @@
 // The class of review/3 (LOST): a response that another host sends is lost with this host, too.
 test('request forwarder: a host that may end before the response passes nothing on', async () => {
 	const cluster = await createCluster();
-	const shutdownDeadline = new ShutdownDeadline();
+	const shutdownDeadline = new ShutdownDeadline({marginMs: 300});
 	const forwarder = createForwarder(cluster, cluster.getRunningHosts()[0]!, shutdownDeadline);
 	shutdownDeadline.set(REQUEST.deadlineAtMs);
 	const sender = new FakeSender([ANSWERED]);
