refactor(test): the set-up of a store, a worker and the hosts of a test stands once

`TestHostSetup` in test/fixtures starts and ends them. All tests and assertions stay as they were. In two things the fixture is stricter: odd-entries failed on no host whose end fails, and the others left worker and store running after one. departure (its worker lives in another thread), end-to-end (stores that fail) and failing-parts (a host that cannot start its parts) set up something else and keep their own.

--- a/test/entry/catch-up-at-end.test.ts
+++ b/test/entry/catch-up-at-end.test.ts
@@ -6,8 +6,9 @@
 } from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {MemberList, encodeHeartbeat, type HostEntry} from '@apricotwood/entry';
-import {FakeStore, FakeWorker, createOperatorConfig} from '@apricotwood/platform/standin';
-import {TestEntryHost, waitUntil, freePorts} from '../fixtures/test-entry-host.js';
+import {FakeWorker} from '@apricotwood/platform/standin';
+import {waitUntil, type TestEntryHost} from '../fixtures/test-entry-host.js';
+import {TestHostSetup} from '../fixtures/test-host-setup.js';
 
 /** Time from the stop signal to the end of a host, ms: far below the timeout of a catch-up request. */
 const GRACE_MS = 20;
@@ -74,9 +75,7 @@
 	}
 }
 
-const store = new FakeStore();
-const worker = new FakeWorker('w1', 'board');
-let ports: number[] = [];
+const setup = new TestHostSetup({worker: new FakeWorker('w1', 'board')});
 let host: TestEntryHost;
 
 function findCatchUpFailures(): Array<Record<string, unknown>> {
@@ -91,31 +90,19 @@
 	});
 }
 
-before(async () => {
-	await store.start();
-	store.putConfig(createOperatorConfig(2, ['board']));
-	await worker.start();
-	store.putWorker(worker.id, worker.entry);
-	ports = await freePorts(5);
-});
+before(async () => setup.start());
 
-after(async () => {
-	await worker.stop();
-	await store.stop();
-});
+after(async () => setup.stop());
 
 beforeEach(async () => {
-	host = await new TestEntryHost('127.0.0.90', ports, store.address, {graceMs: GRACE_MS}).start();
-	await waitUntil('the host is ready', () => host.host.isReady && host.host.state.fleet.size === 1);
+	host = await setup.startHost('127.0.0.90', {graceMs: GRACE_MS});
 });
 
-afterEach(async () => {
-	await host.stop();
-});
+afterEach(async () => setup.stopHosts());
 
 // LOST (docs/incidents, 2026-12-05): "The client is destroyed" was logged as a failure of the host that was asked.
 test('a host that ends during a catch-up logs no failure of the other host', async () => {
-	const peer = await new FakePeer('127.0.0.91', ports[0]!, () => {}).start();
+	const peer = await new FakePeer('127.0.0.91', host.settings.entry.self.peerPort, () => {}).start();
 	try {
 		await beginCatchUp(peer);
 		await host.stop();
@@ -128,7 +115,7 @@
 });
 
 test('a catch-up that the other host breaks off is logged as its failure', async () => {
-	const peer = await new FakePeer('127.0.0.92', ports[0]!, req => {
+	const peer = await new FakePeer('127.0.0.92', host.settings.entry.self.peerPort, req => {
 		req.socket.destroy();
 	}).start();
 	try {
--- a/test/entry/late-rejections.test.ts
+++ b/test/entry/late-rejections.test.ts
@@ -1,32 +1,23 @@
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
-import {
-	FakeStore, FakeWorker, WorkerFault, createOperatorConfig,
-} from '@apricotwood/platform/standin';
-import {TestEntryHost, waitUntil, freePorts} from '../fixtures/test-entry-host.js';
+import {FakeWorker, WorkerFault} from '@apricotwood/platform/standin';
+import type {TestEntryHost} from '../fixtures/test-entry-host.js';
+import {TestHostSetup} from '../fixtures/test-host-setup.js';
 
 /** Least and largest number of requests of a kind, each of which the worker first rejects. */
 const MIN_REQUESTS = 5;
 const MAX_REQUESTS = 40;
 
-const store = new FakeStore();
 const worker = new FakeWorker('w1', 'board');
+const setup = new TestHostSetup({worker});
 let host: TestEntryHost;
 
 before(async () => {
-	await store.start();
-	store.putConfig(createOperatorConfig(2, ['board']));
-	await worker.start();
-	store.putWorker(worker.id, worker.entry);
-	host = await new TestEntryHost('127.0.0.72', await freePorts(5), store.address).start();
-	await waitUntil('the host is ready', () => host.host.isReady && host.host.state.fleet.size === 1);
+	await setup.start();
+	host = await setup.startHost('127.0.0.72');
 });
 
-after(async () => {
-	await host.stop();
-	await worker.stop();
-	await store.stop();
-});
+after(async () => setup.stop());
 
 function countRuns(id: string): number {
 	return worker.executedRequestIds.filter(ran => ran === id).length;
--- a/test/entry/odd-entries.test.ts
+++ b/test/entry/odd-entries.test.ts
@@ -1,12 +1,12 @@
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
-import {FakeStore, FakeWorker, createOperatorConfig} from '@apricotwood/platform/standin';
-import {TestEntryHost, waitUntil, freePorts} from '../fixtures/test-entry-host.js';
+import {FakeWorker} from '@apricotwood/platform/standin';
+import {waitUntil, type TestEntryHost} from '../fixtures/test-entry-host.js';
+import {TestHostSetup} from '../fixtures/test-host-setup.js';
 
-const store = new FakeStore();
 const worker = new FakeWorker('w1', 'board');
-const hosts: TestEntryHost[] = [];
-let ports: number[] = [];
+const setup = new TestHostSetup({worker});
+const {store} = setup;
 
 /** Depth of nesting at which a recursive reader exhausts its stack. */
 const DEEP = 200_000;
@@ -35,26 +35,9 @@
 /** Port of the peers of a host that cannot be sent to. */
 const ODD_PORTS = [99_999, -1, 1.5, 0];
 
-before(async () => {
-	await store.start();
-	store.putConfig(createOperatorConfig(2, ['board']));
-	await worker.start();
-	store.putWorker(worker.id, worker.entry);
-	ports = await freePorts(5);
-});
-
-after(async () => {
-	await Promise.allSettled(hosts.map(async host => host.stop()));
-	await worker.stop();
-	await store.stop();
-});
+before(async () => setup.start());
 
-async function startHost(ip: string): Promise<TestEntryHost> {
-	const host = await new TestEntryHost(ip, ports, store.address).start();
-	hosts.push(host);
-	await waitUntil('the host is ready', () => host.host.isReady && host.host.state.fleet.get('w1') !== undefined);
-	return host;
-}
+after(async () => setup.stop());
 
 function findFailures(host: TestEntryHost): unknown[] {
 	return host.logLines.filter(({event}) => event === 'part-failed' || event === 'request-failed' || event === 'failed');
@@ -75,7 +58,7 @@
 
 // LOST (report of another operator): hosts that read an odd entry among those of the workers ended again and again, or stopped following the list.
 test('odd entries among those of the workers name no worker, harm no request and no part of a host, and the others hold', async t => {
-	const host = await startHost('127.0.0.73');
+	const host = await setup.startHost('127.0.0.73');
 	for (const [id, create] of Object.entries(ODD_WORKERS)) {
 		store.putWorker(id, create());
 	}
@@ -96,7 +79,7 @@
 });
 
 test('an odd entry in the place of a good one ends the use of the worker until it writes a good one again', async t => {
-	const host = await startHost('127.0.0.74');
+	const host = await setup.startHost('127.0.0.74');
 	const replaced = new FakeWorker('w3', 'board');
 	await replaced.start();
 	t.after(async () => replaced.stop());
@@ -118,7 +101,7 @@
 		});
 	}
 
-	const host = await startHost('127.0.0.75');
+	const host = await setup.startHost('127.0.0.75');
 	await waitUntil('the host has sent heartbeats', () => host.logLines.some(({event}) => event === 'registered'));
 	await assertServes(host, 20);
 	assert.deepEqual(findFailures(host), []);
--- a/test/entry/odd-headers.test.ts
+++ b/test/entry/odd-headers.test.ts
@@ -2,11 +2,10 @@
 import {Agent, request as httpRequest} from 'node:http';
 import type {Socket} from 'node:net';
 import {after, before, test} from 'node:test';
-import {FakeStore, createOperatorConfig} from '@apricotwood/platform/standin';
 import {RawWorker} from '../fixtures/raw-worker.js';
-import {TestEntryHost, waitUntil, freePorts} from '../fixtures/test-entry-host.js';
+import {waitUntil, type TestEntryHost} from '../fixtures/test-entry-host.js';
+import {TestHostSetup} from '../fixtures/test-host-setup.js';
 
-const store = new FakeStore();
 let host: TestEntryHost;
 let respond: (socket: Socket, id: string) => void = () => {};
 const worker = new RawWorker((socket, _request, head) => {
@@ -17,23 +16,14 @@
 		respond(socket, id);
 	}
 });
+const setup = new TestHostSetup({worker});
 
 before(async () => {
-	await store.start();
-	store.putConfig(createOperatorConfig(2, ['board']));
-	await worker.start();
-	store.putWorker('w1', {
-		addr: worker.address, born: 1, info: {service: 'board', zone: 'a1', version: 'v1', slots: 4}, status: {state: 'ready', sequence: 1, cold_remaining: '0ms'},
-	});
-	host = await new TestEntryHost('127.0.0.76', await freePorts(5), store.address).start();
-	await waitUntil('the host is ready', () => host.host.isReady && host.host.state.fleet.size === 1);
+	await setup.start();
+	host = await setup.startHost('127.0.0.76');
 });
 
-after(async () => {
-	await host.stop();
-	await worker.stop();
-	await store.stop();
-});
+after(async () => setup.stop());
 
 const ODD_HEADERS = [
 	['two Connection lines', 'Connection: keep-alive\r\nConnection: x-hop\r\nX-Hop: 1\r\n'],
--- a/test/entry/stopping-host.test.ts
+++ b/test/entry/stopping-host.test.ts
@@ -7,8 +7,9 @@
 import {connect} from 'node:net';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
-import {FakeStore, FakeWorker, createOperatorConfig} from '@apricotwood/platform/standin';
-import {TestEntryHost, waitUntil, freePorts} from '../fixtures/test-entry-host.js';
+import {FakeWorker} from '@apricotwood/platform/standin';
+import {waitUntil, type TestEntryHost} from '../fixtures/test-entry-host.js';
+import {TestHostSetup} from '../fixtures/test-host-setup.js';
 
 /** Time from the stop signal to the end of a host, ms. */
 const GRACE_MS = 3000;
@@ -20,9 +21,8 @@
 /** Stands for SIGTERM, which the test runner handles itself. */
 const STOP_SIGNAL = 'SIGUSR2';
 
-const store = new FakeStore();
 const worker = new FakeWorker('w1', 'board');
-let ports: number[] = [];
+const setup = new TestHostSetup({worker, routes: [['photos', 'a.example', '/photos/', 'upload', null, '600ms', 1, 'board', 2, false, [], null]]});
 let host: TestEntryHost;
 let agent: Agent;
 let nextId = 0;
@@ -55,28 +55,18 @@
 	});
 }
 
-before(async () => {
-	await store.start();
-	store.putConfig(createOperatorConfig(2, ['board'], [['photos', 'a.example', '/photos/', 'upload', null, '600ms', 1, 'board', 2, false, [], null]]));
-	await worker.start();
-	store.putWorker(worker.id, worker.entry);
-	ports = await freePorts(5);
-});
+before(async () => setup.start());
 
-after(async () => {
-	await worker.stop();
-	await store.stop();
-});
+after(async () => setup.stop());
 
 beforeEach(async () => {
 	worker.processingMs = 0;
 	agent = new Agent({keepAlive: true});
-	host = await new TestEntryHost('127.0.0.71', ports, store.address, {graceMs: GRACE_MS, lookupLifetimeMs: GRACE_MS}).start();
-	await waitUntil('the host is ready', () => host.host.isReady && host.host.state.fleet.size === 1);
+	host = await setup.startHost('127.0.0.71', {graceMs: GRACE_MS, lookupLifetimeMs: GRACE_MS});
 });
 
 afterEach(async () => {
-	await host.stop();
+	await setup.stopHosts();
 	agent.destroy();
 });
 
--- a/test/entry/stopping-responses.test.ts
+++ b/test/entry/stopping-responses.test.ts
@@ -6,45 +6,30 @@
 } from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {HostPhase} from '@apricotwood/entry';
-import {FakeStore, createOperatorConfig} from '@apricotwood/platform/standin';
 import {RawWorker} from '../fixtures/raw-worker.js';
-import {TestEntryHost, waitUntil, freePorts} from '../fixtures/test-entry-host.js';
+import {waitUntil, type TestEntryHost} from '../fixtures/test-entry-host.js';
+import {TestHostSetup} from '../fixtures/test-host-setup.js';
 
 /** Time from the stop signal to the end of a host, ms. */
 const GRACE_MS = 1600;
 /** Size of a response that no buffer on the way holds, bytes. */
 const LONG_BYTES = 16_000_000;
-const store = new FakeStore();
 let respond: (socket: Socket, head: string) => void = () => {};
 const worker = new RawWorker((socket, _request, head) => {
 	respond(socket, head);
 });
-let ports: number[] = [];
+const setup = new TestHostSetup({worker, routes: [['film', 'a.example', '/film/', 'idempotent', null, '600ms', 1, 'board', 1, false, [], null]]});
 let host: TestEntryHost;
 
-before(async () => {
-	await store.start();
-	store.putConfig(createOperatorConfig(2, ['board'], [['film', 'a.example', '/film/', 'idempotent', null, '600ms', 1, 'board', 1, false, [], null]]));
-	await worker.start();
-	store.putWorker('w1', {
-		addr: worker.address, born: 1, info: {service: 'board', zone: 'a1', version: 'v1', slots: 4}, status: {state: 'ready', sequence: 1, cold_remaining: '0ms'},
-	});
-	ports = await freePorts(5);
-});
+before(async () => setup.start());
 
-after(async () => {
-	await worker.stop();
-	await store.stop();
-});
+after(async () => setup.stop());
 
 beforeEach(async () => {
-	host = await new TestEntryHost('127.0.0.77', ports, store.address, {graceMs: GRACE_MS}).start();
-	await waitUntil('the host is ready', () => host.host.isReady && host.host.state.fleet.size === 1);
+	host = await setup.startHost('127.0.0.77', {graceMs: GRACE_MS});
 });
 
-afterEach(async () => {
-	await host.stop();
-});
+afterEach(async () => setup.stopHosts());
 
 function createHead(head: string, lines: string): string {
 	return `HTTP/1.1 200 OK\r\nRequest-Id: ${/request-id: (\S+)/i.exec(head)?.[1]}\r\nServer-Signature: s\r\n${lines}\r\n`;
@@ -129,7 +114,7 @@
 	const heldWrites: Array<() => void> = [];
 	const holdBack = (message: unknown) => {
 		const {socket} = message as {socket: HeldSocket};
-		if (socket.localPort !== ports[1]) {
+		if (socket.localPort !== host.settings.entry.callerPort) {
 			return;
 		}
 
