--- a/packages/entry/src/host/registration.ts
+++ b/packages/entry/src/host/registration.ts
@@ -47,6 +47,10 @@
 			}
 
 			failures = await this.#register(signal, failures) ? 0 : failures + 1; // eslint-disable-line no-await-in-loop
+			if (signal.aborted) {
+				return;
+			}
+
 			onAttempt();
 			await sleep(clock, Math.min(MAX_BACKOFF_MS, BACKOFF_STEP_MS * failures), signal); // eslint-disable-line no-await-in-loop
 		}
@@ -70,8 +74,12 @@
 			log.info({event: 'registered', hosts: hosts.length, epoch});
 			return true;
 		} catch (error) {
-			log.warn({event: 'register-failed', message: (error as Error).message, tries: failures});
-			onFailure();
+			// A call that ends because this host ends is no failure of the source.
+			if (!signal.aborted) {
+				log.warn({event: 'register-failed', message: (error as Error).message, tries: failures});
+				onFailure();
+			}
+
 			return false;
 		}
 	}
--- a/packages/entry/src/upstream/health-checker.ts
+++ b/packages/entry/src/upstream/health-checker.ts
@@ -70,6 +70,11 @@
 		metrics.count('checks');
 		const {hasPassed, coldMs, message} = await this.#probe(worker, healthPath, signal);
 		this.#inFlight.delete(id);
+		if (signal.aborted) {
+			// A check that ends because this host ends is no failure of the worker.
+			return;
+		}
+
 		workerHealth.recordHealthCheck(worker.hash, hasPassed, clock.monotonic());
 		if (hasPassed && coldMs > 0) {
 			state.fleet.put({...worker.registration, coldMs}, clock.monotonic());
