refactor(clock): when the event loop last read what had come is known to a class of its own

The times since which a stop signal may have been waiting were kept by `WaitingRetrier`, which retries requests. `EventLoopMonitor` keeps them, so that the daemon can ask it as well; the retrier tells it of each run. No change of behaviour.

--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -1,4 +1,6 @@
-import {sleep, type Clock, type Random} from '@apricotwood/clock';
+import {
+	EventLoopMonitor, sleep, type Clock, type Random,
+} from '@apricotwood/clock';
 import {
 	LoadTracker, ReportInterval, ShutdownDeadline, WaitingRequests, type RetryBudgetOptions,
 } from '@apricotwood/steering';
@@ -85,6 +87,7 @@
 	readonly #running = new Set<RunningAttempt>();
 	readonly #shutdownDeadline = new ShutdownDeadline({marginMs: RESPONSE_MARGIN_MS});
 	readonly #shutdownReport: ShutdownReport;
+	readonly #eventLoop: EventLoopMonitor;
 	readonly #waitingRetrier: WaitingRetrier;
 
 	constructor(private readonly deps: EntryDeps) {
@@ -101,8 +104,9 @@
 		this.#directory = new HostDirectory({
 			clock, members: this.members, isolation: this.#workers.isolation, reachability: this.#workerAccess.reachability, isReady: () => this.isReady,
 		});
+		this.#eventLoop = new EventLoopMonitor(clock);
 		this.#waitingRetrier = new WaitingRetrier({
-			clock, metrics, waiting: this.#waiting, running: this.#running, serviceTimes: this.#workers.statistics.serviceTimes,
+			clock, eventLoop: this.#eventLoop, metrics, waiting: this.#waiting, running: this.#running, serviceTimes: this.#workers.statistics.serviceTimes,
 		});
 		this.#ingress = this.#createIngress();
 		this.#peers = this.#createPeers();
@@ -154,7 +158,7 @@
 			ingress: this.#ingress,
 			deadline: this.#shutdownDeadline,
 			report: this.#shutdownReport,
-			getReadUntilMs: () => this.#waitingRetrier.readUntilMs,
+			getReadUntilMs: () => this.#eventLoop.readUntilMs,
 			graceMs: settings.graceMs,
 			lookupLifetimeMs: settings.lookupLifetimeMs,
 			announce: () => {
--- a/packages/entry/src/request/waiting-retrier.ts
+++ b/packages/entry/src/request/waiting-retrier.ts
@@ -1,4 +1,6 @@
-import {readPendingInput, sleep, type Clock} from '@apricotwood/clock';
+import {
+	readPendingInput, sleep, type Clock, type EventLoopMonitor,
+} from '@apricotwood/clock';
 import type {ServiceTimeEstimator, WaitingRequests} from '@apricotwood/steering';
 import type {Metrics} from '@apricotwood/telemetry';
 import type {RunningAttempt} from './session-deps.js';
@@ -12,6 +14,8 @@
 
 export type WaitingRetrierDeps = {
 	readonly clock: Clock;
+	/** Told of each run. */
+	readonly eventLoop: EventLoopMonitor;
 	readonly metrics: Metrics;
 	readonly waiting: WaitingRequests<() => void>;
 	readonly running: ReadonlySet<RunningAttempt>;
@@ -26,20 +30,18 @@
 export class WaitingRetrier {
 	#isScheduled = false;
 	#maxLagMs = 0;
-	/** The latest two times at which the event loop ran this, monotonic ms. */
-	#runsAtMs: readonly [number, number] = [Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY];
 
 	constructor(private readonly deps: WaitingRetrierDeps) {}
 
 	/** Runs until the signal is aborted. */
 	async run(signal: AbortSignal): Promise<void> {
-		const {clock, waiting} = this.deps;
+		const {clock, eventLoop, waiting} = this.deps;
 		while (!signal.aborted) {
 			const intervalMs = waiting.size > 0 ? RETRY_INTERVAL_MS : OVERDUE_CHECK_INTERVAL_MS;
 			const dueAtMs = clock.monotonic() + intervalMs;
 			await sleep(clock, intervalMs, signal); // eslint-disable-line no-await-in-loop
 			const nowMs = clock.monotonic();
-			this.#runsAtMs = [this.#runsAtMs[1], nowMs];
+			eventLoop.recordRun();
 			this.#recordLag(nowMs - dueAtMs);
 			this.#recordOverdue(nowMs);
 			this.schedule();
@@ -56,15 +58,6 @@
 		void this.#retry();
 	}
 
-	/**
-	 * Time before which whatever the event loop handles now cannot have come, monotonic
-	 * ms. After it was blocked, it runs this before it reads what has come meanwhile,
-	 * so the latest time but one counts.
-	 */
-	get readUntilMs(): number {
-		return Math.min(this.#runsAtMs[0], this.deps.clock.monotonic());
-	}
-
 	/** Longest lag of the event loop since the last call, ms. */
 	takeMaxLagMs(): number {
 		const maxLagMs = this.#maxLagMs;
