--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -1,4 +1,6 @@
-import {sleep, type Clock, type Random} from '@apricotwood/clock';
+import {
+	EventLoopMonitor, sleep, type Clock, type Random,
+} from '@apricotwood/clock';
 import {
 	LoadTracker, ReportInterval, ShutdownDeadline, WaitingRequests, type RetryBudgetOptions,
 } from '@apricotwood/steering';
@@ -59,6 +61,8 @@
 
 /** Capacity of the waiting list; further requests that find no free worker are rejected. */
 const MAX_WAITING_REQUESTS = 300;
+/** Time after its deadline by which a request has ended in any case, also when another host answers it, ms. */
+const RESPONSE_MARGIN_MS = 300;
 /** Time for the supervised tasks to end after all requests have ended, ms. One that does not, for example because a connection is being opened, does not hold up the process. */
 const TASKS_END_TIMEOUT_MS = 100;
 
@@ -81,8 +85,9 @@
 	readonly #reportInterval = new ReportInterval();
 	readonly #waiting = new WaitingRequests<() => void>(MAX_WAITING_REQUESTS);
 	readonly #running = new Set<RunningAttempt>();
-	readonly #shutdownDeadline = new ShutdownDeadline();
+	readonly #shutdownDeadline = new ShutdownDeadline({marginMs: RESPONSE_MARGIN_MS});
 	readonly #shutdownReport: ShutdownReport;
+	readonly #eventLoop: EventLoopMonitor;
 	readonly #waitingRetrier: WaitingRetrier;
 
 	constructor(private readonly deps: EntryDeps) {
@@ -99,8 +104,9 @@
 		this.#directory = new HostDirectory({
 			clock, members: this.members, isolation: this.#workers.isolation, reachability: this.#workerAccess.reachability, isReady: () => this.isReady,
 		});
+		this.#eventLoop = new EventLoopMonitor(clock);
 		this.#waitingRetrier = new WaitingRetrier({
-			clock, metrics, waiting: this.#waiting, running: this.#running, serviceTimes: this.#workers.statistics.serviceTimes,
+			clock, eventLoop: this.#eventLoop, metrics, waiting: this.#waiting, running: this.#running, serviceTimes: this.#workers.statistics.serviceTimes,
 		});
 		this.#ingress = this.#createIngress();
 		this.#peers = this.#createPeers();
@@ -152,7 +158,7 @@
 			ingress: this.#ingress,
 			deadline: this.#shutdownDeadline,
 			report: this.#shutdownReport,
-			getReadUntilMs: () => this.#waitingRetrier.readUntilMs,
+			getReadUntilMs: () => this.#eventLoop.readUntilMs,
 			graceMs: settings.graceMs,
 			lookupLifetimeMs: settings.lookupLifetimeMs,
 			announce: () => {
