--- a/packages/steering/src/rate-limiter.ts
+++ b/packages/steering/src/rate-limiter.ts
@@ -39,8 +39,8 @@
 const MIN_SHARE_PER_SECOND = 1;
 /** Longest time between two requests of a host that has a share, ms. A worker with a limit near 0 is still asked from time to time, as only its responses show that the limit has changed. */
 const MAX_INTERVAL_MS = 4000;
-/** Time after an unused turn at which a host should send a request even if another worker is faster, ms: only responses show that a limit has changed. */
-const CHECK_AFTER_MS = 2000;
+/** Time after the previous request at which a host that has a share should send one even if another worker is faster, ms: only responses show that a limit has changed. */
+const CHECK_INTERVAL_MS = 2000;
 /** Time by which a host may catch up on requests that it has not sent, ms. */
 const BURST_MS = 250;
 /** Time for which the hosts, and the shares computed from them, are used, ms. */
@@ -83,10 +83,15 @@
 		return share ? Math.max(limitedSinceMs + share.firstDelayMs, this.#nextSendAtMs.get(worker.hash) ?? 0) : Number.POSITIVE_INFINITY;
 	}
 
-	/** Whether this host has left its turns at a worker with a limit unused for so long that it should ask whether the limit still applies. */
+	/** Whether this host has sent a worker with a limit nothing for so long, though it may, that it should ask whether the limit still applies. */
 	isCheckDue(worker: Worker, nowMs: number): boolean {
+		const share = this.#getShare(worker, nowMs);
+		if (!share) {
+			return false;
+		}
+
 		const nextSendMs = this.getNextSendMs(worker, nowMs);
-		return Number.isFinite(nextSendMs) && nowMs - nextSendMs > CHECK_AFTER_MS;
+		return nowMs >= nextSendMs && nowMs - (nextSendMs - share.intervalMs) >= CHECK_INTERVAL_MS;
 	}
 
 	/** Rate at which this host may send to the worker, requests per second; 0 if it has no share of its limit, `Infinity` if the worker names none. */
--- a/test/entry/rate-limits.test.ts
+++ b/test/entry/rate-limits.test.ts
@@ -75,7 +75,7 @@
 	assert.ok(replies.filter(({status}) => status === 200).length >= replies.length * 0.98);
 });
 
-test('a worker that no longer names a limit is used by all hosts again', {todo: 'KNOWN-RED: issue 25'}, async () => {
+test('a worker that no longer names a limit is used by all hosts again', async () => {
 	const limited = workers[0]!;
 	const others = workers.slice(1);
 	limited.rateLimit = 2.1;
--- a/test/steering/placer.test.ts
+++ b/test/steering/placer.test.ts
@@ -320,7 +320,8 @@
 	assert.ok(sentCount >= 10 && sentCount <= 21, `${sentCount} in 10 s`);
 });
 
-test('placer: a worker that names a rate limit and is slower than the others is still asked whether the limit applies', () => {
+/** Sends requests for 20 s while one worker names a limit and is slower than the others. @returns the times at which it got one, ms. */
+function listRequestsToLimited(perSecond: number): number[] {
 	const parts = makePlacer(SIX_WORKERS);
 	const limited = parts.fleet.get(SIX_WORKERS[0]!.id)!;
 	for (let object = 0; object < 20; object++) {
@@ -330,7 +331,7 @@
 	}
 
 	const sentAtMs: number[] = [];
-	parts.rateLimits.recordResponse(limited.hash, 2, 0);
+	parts.rateLimits.recordResponse(limited.hash, perSecond, 0);
 	for (let nowMs = 0; nowMs < 20_000; nowMs += 50) {
 		parts.serviceTimes.recordOverdue(limited.hash, 1.5, nowMs);
 		const object = (nowMs / 50) % 20;
@@ -341,9 +342,23 @@
 		}
 	}
 
+	return sentAtMs;
+}
+
+test('placer: a worker that names a rate limit and is slower than the others is still asked whether the limit applies', () => {
+	const sentAtMs = listRequestsToLimited(2);
 	assert.ok(sentAtMs.length >= 5 && sentAtMs.length <= 10, `asked at ${sentAtMs.join(', ')} ms`);
 });
 
+// Hosts believed in a limit that no longer applied for up to 3 s, and rejected requests when the others had gone.
+test('placer: whatever its limit, a worker that is slower than the others is asked every 2 s', () => {
+	for (const perSecond of [1.05, 2, 10]) {
+		const sentAtMs = listRequestsToLimited(perSecond);
+		const gapsMs = sentAtMs.slice(1).map((atMs, index) => atMs - sentAtMs[index]!);
+		assert.ok(sentAtMs.length >= 5 && Math.max(...gapsMs) <= 2000, `${perSecond}: asked at ${sentAtMs.join(', ')} ms`);
+	}
+});
+
 test('placer: when all workers name rate limits, a request waits only if its turn comes in time, and is rejected at once otherwise', () => {
 	const parts = makePlacer([makeWorker('w')]);
 	const {hash} = parts.fleet.get('w')!;
