--- a/packages/daemon/src/host/host.ts
+++ b/packages/daemon/src/host/host.ts
@@ -1,6 +1,6 @@
 import {randomBytes} from 'node:crypto';
 import {DrainKind, type AgreementState} from '@apricotwood/agreement';
-import {sleep, waitForAbort} from '@apricotwood/clock';
+import {EventLoopMonitor, sleep, waitForAbort} from '@apricotwood/clock';
 import {Supervisor, type Child} from '@apricotwood/supervisor';
 import {VERSION_PREFIX, type VersionRecord} from '../control/agreement.js';
 import {type HostDigest} from '../control/digest.js';
@@ -19,6 +19,8 @@
 const REFRESH_INTERVAL_MS = 250;
 /** Time between two ticks of the fence, ms; it must tick at least once a second. */
 const PAUSE_CHECK_INTERVAL_MS = 250;
+/** Time between two runs by which a blocked event loop is noticed, ms; up to twice as much of the grace period is given up. */
+const EVENT_LOOP_CHECK_INTERVAL_MS = 100;
 /** Time between two checks whether a snapshot is due, ms. */
 const SNAPSHOT_CHECK_INTERVAL_MS = 5000;
 /** Demand that changes by more than this factor is published before the next lease renewal is due. */
@@ -33,6 +35,7 @@
 	readonly #stopRequested = new AbortController();
 	/** Aborted when the host is to end after all requests in flight, however long. */
 	readonly #drainRequested = new AbortController();
+	readonly #eventLoop: EventLoopMonitor;
 	#digestSeq = 0;
 	#lastDemand: Record<string, number> = {};
 	#lastLeaseWriteMs = Number.NEGATIVE_INFINITY;
@@ -46,7 +49,8 @@
 	}
 
 	private constructor(private readonly deps: HostDeps) {
-		const {settings, log} = deps;
+		const {settings, clock, log} = deps;
+		this.#eventLoop = new EventLoopMonitor(clock);
 		this.#identity = {
 			id: settings.id, incarnation: randomBytes(6).toString('hex'), address: settings.listen.address, port: 0, zone: settings.zone, region: settings.region,
 		};
@@ -100,6 +104,7 @@
 	 */
 	async run(signal: AbortSignal): Promise<void> {
 		const stopChildren = new AbortController();
+		void this.#watchEventLoop(stopChildren.signal);
 		const supervisor = this.#createSupervisor();
 		let failure: Error | undefined;
 		const childrenDone = supervisor.run(this.#createChildren(), stopChildren.signal).catch((error: unknown) => {
@@ -140,6 +145,14 @@
 		});
 	}
 
+	/** Not a background task: these end together when one keeps failing, before the shutdown begins. */
+	async #watchEventLoop(signal: AbortSignal): Promise<void> {
+		while (!signal.aborted) {
+			this.#eventLoop.recordRun();
+			await sleep(this.deps.clock, EVENT_LOOP_CHECK_INTERVAL_MS, signal); // eslint-disable-line no-await-in-loop
+		}
+	}
+
 	#createChildren(): Child[] {
 		const {control, request, metrics} = this.deps.settings;
 		const {clock, random} = this.deps;
@@ -337,6 +350,7 @@
 			deadline: shutdownDeadline,
 			schedule: computeShutdownSchedule(settings.shutdown.graceMs),
 			lookupTtlMs: settings.lookup.ttlMs,
+			getReadUntilMs: () => this.#eventLoop.readUntilMs,
 			rejectLate() {
 				admission.rejectLate();
 			},
--- a/packages/daemon/src/host/shutdown.ts
+++ b/packages/daemon/src/host/shutdown.ts
@@ -18,6 +18,8 @@
 	readonly schedule: ShutdownSchedule;
 	/** Time for which callers keep a lookup result, ms. */
 	readonly lookupTtlMs: number;
+	/** Returns the time before which the stop signal cannot have come, monotonic ms. */
+	readonly getReadUntilMs: () => number;
 	/** Called when the deadline has been set: what waits and does not end before it is rejected. */
 	readonly rejectLate: () => void;
 	/** Tells the other hosts that this host stops. */
@@ -58,22 +60,25 @@
 	}
 
 	async #limitOnAbort(): Promise<void> {
-		const {clock, deadline, schedule, rejectLate} = this.deps;
+		const {clock, deadline, schedule, rejectLate, getReadUntilMs} = this.deps;
 		await waitForAbort(this.mustEnd);
-		deadline.set(clock.monotonic() + schedule.endAfterMs);
+		// The platform counts the grace period from the signal, which a blocked event loop notices late.
+		const startAtMs = getReadUntilMs();
+		deadline.set(startAtMs + schedule.endAfterMs);
 		rejectLate();
-		await sleep(clock, schedule.exitAfterMs);
+		await sleep(clock, startAtMs + schedule.exitAfterMs - clock.monotonic());
 		this.#isExitDue.abort();
 	}
 
 	/** Callers may use a lookup result for its time to live after the announcement. */
 	async #serveCachedLookups(): Promise<void> {
-		const {clock, schedule, lookupTtlMs, announce} = this.deps;
+		const {clock, schedule, lookupTtlMs, getReadUntilMs, announce} = this.deps;
+		const closeAtMs = getReadUntilMs() + schedule.closeAfterMs;
 		const announceAndWait = async () => {
 			await announce();
 			await sleep(clock, lookupTtlMs);
 		};
 
-		await Promise.race([announceAndWait(), sleep(clock, schedule.closeAfterMs)]);
+		await Promise.race([announceAndWait(), sleep(clock, closeAtMs - clock.monotonic())]);
 	}
 }
--- a/test/faults/grace-period.test.ts
+++ b/test/faults/grace-period.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {connect} from 'node:net';
+import process from 'node:process';
 import {test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {Behaviour} from '@apricotwood/standin';
@@ -10,6 +11,8 @@
 
 const GRACE_MS = 1600;
 const SETTINGS = {lookup: {ttlMs: 1000, ticketTtlMs: 60_000}, request: {maxWaitMs: 1000}, shutdown: {graceMs: GRACE_MS}};
+/** Stands for SIGTERM, which the test runner handles itself. */
+const STOP_SIGNAL = 'SIGUSR2';
 const HEADERS = {'apricotwood-member': 'club', connection: 'keep-alive'};
 /** Its deadline, 60 s, lies after the end of the grace period. */
 const UPLOAD: TestRequest = {
@@ -157,3 +160,32 @@
 	await cut;
 	await Promise.all(Array.from(rig.workers.values(), async worker => worker.stop()));
 });
+
+// The platform counts the grace period from the signal.
+test('a host that notices the stop signal late ends within the grace period of the signal', async () => {
+	await withRig({}, async rig => {
+		for (const name of ['locker-1', 'locker-2']) {
+			rig.worker(name).behaviours = [Behaviour.Silent];
+		}
+
+		const cut = assert.rejects(sendRequest(rig.port, UPLOAD), /ECONNRESET/);
+		await waitUntil(() => countStarted(rig) === 1);
+		await delay(300);
+		const ended = once(process, STOP_SIGNAL).then(async () => rig.stopHost(0));
+		// In this phase of the event loop, timers run before the signal is read.
+		await new Promise<void>(resolve => {
+			setImmediate(resolve);
+		});
+		process.kill(process.pid, STOP_SIGNAL);
+		const signalAtMs = performance.now();
+		while (performance.now() < signalAtMs + 600) {
+			// The event loop is blocked.
+		}
+
+		await ended;
+		const tookMs = performance.now() - signalAtMs;
+		await cut;
+		await Promise.all(Array.from(rig.workers.values(), async worker => worker.stop()));
+		assert.ok(tookMs < GRACE_MS, `ended ${Math.round(tookMs)} ms after the signal`);
+	});
+});
