fix(daemon): a response without a length that breaks off does not look complete to a caller of HTTP/1.0

Cause: the daemon destroyed the connection, which ends it regularly once the kernel has sent what it holds.

Change: `cutResponse` resets the connection of a caller of HTTP/1.0; for the others the missing last chunk or length is the sign, and they keep what has arrived. Used for attempts and for requests that are passed on (that one is not tested by itself).

--- a/packages/daemon/src/peer/forward.ts
+++ b/packages/daemon/src/peer/forward.ts
@@ -10,6 +10,7 @@
 } from '../request/rejection.js';
 import type {RequestContext} from '../request/context.js';
 import {HeaderName, copyRequestHeaders} from '../request/headers.js';
+import {cutResponse} from '../request/response.js';
 import type {PeerAuth} from './auth.js';
 
 /** Largest number of connections to one peer. */
@@ -168,7 +169,7 @@
 
 	onFail(attempt: Attempt, {code, message, hadResponse}: AttemptFailure): void {
 		if (hadResponse) {
-			this.ctx.res.destroy();
+			cutResponse(this.ctx.res);
 		}
 
 		const refusal = attempt.wasSent ? rejectUnknown(code, code === RejectionCode.UpstreamLate ? 504 : 502, message) : rejectNotRun(code, 503, message, 100);
--- a/packages/daemon/src/request/delivery.ts
+++ b/packages/daemon/src/request/delivery.ts
@@ -10,7 +10,7 @@
 import type {WorkerLink} from '../upstream/worker-link.js';
 import type {Admission, Placement} from './admission.js';
 import type {AttemptPolicy} from './attempt-policy.js';
-import {createResponseHeaders} from './response.js';
+import {createResponseHeaders, cutResponse} from './response.js';
 import {RunningAttempts, type RunningAttempt} from './running-attempts.js';
 import {ResponseRecorder} from './response-recorder.js';
 import {Cancellation} from './cancellation.js';
@@ -258,9 +258,8 @@
 		}
 	}
 
-	/** Closes the caller's connection, so that a truncated response does not look complete. */
 	#abortResponse(failure: AttemptFailure): void {
-		this.ctx.res.destroy();
+		cutResponse(this.ctx.res);
 		this.#finish(Outcome.Unknown, rejectUnknown(failure.code, 502, failure.message));
 	}
 
@@ -364,7 +363,7 @@
 
 		const hasResponseStarted = this.ctx.res.headersSent;
 		if (hasResponseStarted) {
-			this.ctx.res.destroy();
+			cutResponse(this.ctx.res);
 		}
 
 		const status = code === RejectionCode.UpstreamLate ? 504 : 408;
--- a/packages/daemon/src/request/response.ts
+++ b/packages/daemon/src/request/response.ts
@@ -48,6 +48,16 @@
 	res.end(response.body);
 }
 
+/** Breaks off a response that has started, so that it does not look complete. */
+export function cutResponse(res: ServerResponse): void {
+	// HTTP/1.0 has no chunked encoding: a response without a length ends with its connection, and a regular end would complete it.
+	if (res.req.httpVersion === '1.0') {
+		res.socket?.resetAndDestroy();
+	}
+
+	res.destroy();
+}
+
 /** Adds the outcome, worker and host headers to the headers of a worker's response. */
 export function createResponseHeaders(headers: readonly string[], worker: string, host: string): string[] {
 	return [...headers, OUTCOME_HEADER, Outcome.Answered, WORKER_HEADER, worker, HOST_HEADER, host];
