--- a/packages/entry/src/request/long-body.ts
+++ b/packages/admission/src/long-body.ts
@@ -17,7 +17,7 @@
 }
 
 /**
- * The part of a long body that is not buffered before a worker is chosen.
+ * A body, or what follows its first part, that is not buffered before a worker is chosen.
  *
  * Nothing tells that the caller has left but the end of its connection, and that
  * lies behind the bytes of the body. So these are read ahead of the worker, up to a
@@ -28,6 +28,7 @@
 	#heldBytes = 0;
 	#maxHeldBytes = MAX_READ_AHEAD_BYTES;
 	#maxTotalBytes = MAX_TOTAL_READ_AHEAD_BYTES;
+	#wasTaken = false;
 	#isComplete = false;
 	#error: Error | undefined;
 	/** Called when more of the body, or its end, has been read; set while the worker waits for it. */
@@ -37,18 +38,29 @@
 	 * @param receivedBytes bytes of the body that have been read before.
 	 * @param maxBytes maximum body size that callers may send, bytes.
 	 */
-	constructor(private readonly req: IncomingMessage, private receivedBytes: number, private readonly maxBytes: number, private readonly held: HeldBytes) {
+	constructor(readonly req: IncomingMessage, private receivedBytes: number, private readonly maxBytes: number, private readonly held: HeldBytes) {
 		req.on('data', this.#onData);
 		req.on('end', this.#onEnd);
 		req.on('close', this.#onClose);
 		this.#flow();
 	}
 
+	/** Whether none of it has been taken by `stream`, so that it can still be sent from its start. */
+	get isUntaken(): boolean {
+		return !this.#wasTaken;
+	}
+
+	/** Bytes that have been read and not taken. */
+	get heldBytes(): number {
+		return this.#heldBytes;
+	}
+
 	/** Streams the body as it arrives. @throws if it exceeds the limit or the connection ends before it is complete. */
 	async * stream(): AsyncGenerator<Buffer> {
 		while (!this.#error) {
 			const chunk = this.#chunks.shift();
 			if (chunk) {
+				this.#wasTaken = true;
 				this.#hold(-chunk.length);
 				this.#flow();
 				yield chunk;
--- a/packages/daemon/src/peer/forward.ts
+++ b/packages/daemon/src/peer/forward.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
-import type {IncomingMessage} from 'node:http';
 import {Pool} from 'undici';
+import type {LongBody} from '@apricotwood/admission';
 import type {Clock, Timer} from '@apricotwood/clock';
 import {
 	Attempt, type ResponseHead, type AttemptFailure, type AttemptListener,
@@ -61,7 +61,7 @@
 	 * Forwards a request to a peer and relays the response to the caller. Calls `setCancel` with a function that
 	 * aborts the forwarded request.
 	 */
-	async forward(ctx: RequestContext, peer: PeerAddress, body: Buffer | IncomingMessage | undefined, setCancel: (cancel: () => void) => void): Promise<ForwardResult> {
+	async forward(ctx: RequestContext, peer: PeerAddress, body: Buffer | LongBody | undefined, setCancel: (cancel: () => void) => void): Promise<ForwardResult> {
 		const forwarded = new ForwardedRequest(ctx, this.options);
 		setCancel(() => {
 			forwarded.cancel();
@@ -115,7 +115,7 @@
 
 	constructor(private readonly ctx: RequestContext, private readonly options: ForwarderOptions) {}
 
-	async run(pool: Pool, peerId: string, body: Buffer | IncomingMessage | undefined): Promise<ForwardResult> {
+	async run(pool: Pool, peerId: string, body: Buffer | LongBody | undefined): Promise<ForwardResult> {
 		const {ctx} = this;
 		const remainingMs = Math.max(1, ctx.deadlineAtMs - this.options.clock.monotonic());
 		const attempt = new Attempt(peerId, {
@@ -175,7 +175,7 @@
 		this.#finish({mayHaveReachedPeer: attempt.wasSent, refusal, peerRoom: this.#peerRoom});
 	}
 
-	#createHeaders(remainingMs: number, body: Buffer | IncomingMessage | undefined): string[] {
+	#createHeaders(remainingMs: number, body: Buffer | LongBody | undefined): string[] {
 		const {ctx, options} = this;
 		const metadata: ForwardMetadata = {from: options.hostId, caller: ctx.callerAddress};
 		const headers = copyRequestHeaders(ctx.req);
--- a/packages/daemon/src/request/delivery.ts
+++ b/packages/daemon/src/request/delivery.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import type {IncomingMessage} from 'node:http';
+import type {LongBody} from '@apricotwood/admission';
 import {RepeatPolicy} from '@apricotwood/agreement';
 import type {Clock, Timer} from '@apricotwood/clock';
 import type {ResourceClaim} from '@apricotwood/ledger';
@@ -84,7 +84,7 @@
 		private readonly ctx: RequestContext,
 		private readonly attemptPolicy: AttemptPolicy,
 		private readonly claims: readonly ResourceClaim[],
-		private readonly body: Buffer | IncomingMessage | undefined,
+		private readonly body: Buffer | LongBody | undefined,
 		private readonly storesResponse: boolean,
 	) {
 		this.#running = new RunningAttempts(deps);
@@ -306,7 +306,7 @@
 
 	/** Whether a streamed body is still unread, so that another attempt can send it. */
 	get #isBodyUnread(): boolean {
-		return this.#isBodyStreamed && !this.ctx.req.readableDidRead;
+		return this.body !== undefined && !Buffer.isBuffer(this.body) && this.body.isUntaken;
 	}
 
 	get #remainingMs(): number {
--- a/packages/daemon/src/request/dispatcher.ts
+++ b/packages/daemon/src/request/dispatcher.ts
@@ -1,5 +1,6 @@
-import type {Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {HeldBytes, LongBody} from '@apricotwood/admission';
 import {RepeatPolicy, TOTAL_DEMAND_GROUP, memberDemandGroup, serviceDemandGroup} from '@apricotwood/agreement';
 import {readPendingInput, type Clock} from '@apricotwood/clock';
 import {Outcome} from '@apricotwood/once';
@@ -53,6 +54,8 @@
 
 /** Handles each request of a caller or peer until it has exactly one outcome. */
 export class Dispatcher {
+	readonly #held = new HeldBytes();
+
 	constructor(private readonly deps: DispatcherDeps) {}
 
 	/** Handles one request; resolves when it has finished. */
@@ -151,7 +154,9 @@
 				return;
 			}
 
-			await (decision.step === DeduplicationStep.Forward ? this.#forwardToOwner(ctx, decision, undefined, cancellation) : this.#serveLocally(ctx, cancellation));
+			await (decision.step === DeduplicationStep.Forward
+				? this.#useBody(ctx, undefined, async body => this.#forwardToOwner(ctx, decision, body, cancellation))
+				: this.#serveLocally(ctx, cancellation));
 		} finally {
 			ctx.res.off('close', onClose);
 			socket.off('end', onClose);
@@ -172,14 +177,27 @@
 			return;
 		}
 
-		const body = readResult ? readResult.body : (hasBody(ctx.req) ? ctx.req : undefined);
+		await this.#useBody(ctx, readResult?.body, async body => this.#deduplicateAndPlace(ctx, body, needsDeduplication, cancellation));
+	}
+
+	/** Calls `use` with the body that is to be sent: the one that has been read, or one that is streamed. */
+	async #useBody(ctx: RequestContext, bufferedBody: Buffer | undefined, use: (body: Buffer | LongBody | undefined) => Promise<void>): Promise<void> {
+		const longBody = bufferedBody === undefined && hasBody(ctx.req) ? new LongBody(ctx.req, 0, Number.POSITIVE_INFINITY, this.#held) : undefined;
+		try {
+			await use(bufferedBody ?? longBody);
+		} finally {
+			longBody?.release();
+		}
+	}
+
+	async #deduplicateAndPlace(ctx: RequestContext, body: Buffer | LongBody | undefined, needsDeduplication: boolean, cancellation: Cancellation): Promise<void> {
 		const claims = this.deps.placer.getClaims(ctx);
 		if (!needsDeduplication) {
 			await this.deps.placer.place(ctx, claims, body, cancellation, undefined);
 			return;
 		}
 
-		const decision = await this.deps.gate.begin(ctx, readResult?.body, cancellation);
+		const decision = await this.deps.gate.begin(ctx, Buffer.isBuffer(body) ? body : undefined, cancellation);
 		switch (decision.step) {
 			case DeduplicationStep.Reject: {
 				this.deps.replier.reply(ctx.res, decision.rejection, ctx);
@@ -196,7 +214,7 @@
 			}
 
 			case DeduplicationStep.Forward: {
-				await this.#forwardToOwner(ctx, decision, readResult?.body, cancellation);
+				await this.#forwardToOwner(ctx, decision, body, cancellation);
 				return;
 			}
 
@@ -248,14 +266,14 @@
 	}
 
 	/** Forwards a request to the host that owns its request id; the forward is cancelled when the caller leaves. */
-	async #forwardToOwner(ctx: RequestContext, {host, incarnation}: OwnerHost, body: Buffer | undefined, cancellation: Cancellation): Promise<void> {
+	async #forwardToOwner(ctx: RequestContext, {host, incarnation}: OwnerHost, body: Buffer | LongBody | undefined, cancellation: Cancellation): Promise<void> {
 		const peer = ctx.isForwarded ? undefined : this.deps.peers.find(host, incarnation);
 		if (!peer) {
 			this.deps.replier.reply(ctx.res, rejectUnknown(RejectionCode.TicketHostGone, 503, `the owner of this request id, host ${host}, is unreachable; retry with the same id and ticket`, 1000), ctx);
 			return;
 		}
 
-		const result = await this.deps.placer.forward(ctx, peer, body ?? (hasBody(ctx.req) ? ctx.req : undefined), 'owner', cancellation);
+		const result = await this.deps.placer.forward(ctx, peer, body, 'owner', cancellation);
 		if (result.refusal) {
 			// An earlier request with this id may have run on the owner.
 			this.deps.replier.reply(ctx.res, {...result.refusal, outcome: Outcome.Unknown}, ctx);
--- a/packages/daemon/src/request/placer.ts
+++ b/packages/daemon/src/request/placer.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import type {IncomingMessage} from 'node:http';
+import type {LongBody} from '@apricotwood/admission';
 import type {Shift} from '@apricotwood/agreement';
 import type {Clock} from '@apricotwood/clock';
 import type {ResourceClaim} from '@apricotwood/ledger';
@@ -10,7 +10,7 @@
 import {NO_WORKER, isMemberLimit, type Admission, type PlacementResult, type Placement} from './admission.js';
 import type {Cancellation} from './cancellation.js';
 import {
-	RejectionCode, rejectRetryable, rejectStopping, type Rejection,
+	RejectionCode, rejectNotRun, rejectRetryable, rejectStopping, type Rejection,
 } from './rejection.js';
 import type {RequestContext} from './context.js';
 import {Delivery, type DeliveryResult, type ExtraAttemptKind} from './delivery.js';
@@ -67,7 +67,7 @@
 	async place(
 		ctx: RequestContext,
 		claims: readonly ResourceClaim[] | undefined,
-		body: Buffer | IncomingMessage | undefined,
+		body: Buffer | LongBody | undefined,
 		cancellation: Cancellation,
 		run: DeduplicatedRun | undefined,
 	): Promise<void> {
@@ -112,7 +112,7 @@
 		ctx: RequestContext,
 		claims: readonly ResourceClaim[],
 		blockedBy: string,
-		body: Buffer | IncomingMessage | undefined,
+		body: Buffer | LongBody | undefined,
 		cancellation: Cancellation,
 		run: DeduplicatedRun | undefined,
 	): Promise<void> {
@@ -142,10 +142,17 @@
 		ctx: RequestContext,
 		claims: readonly ResourceClaim[],
 		placement: Placement,
-		body: Buffer | IncomingMessage | undefined,
+		body: Buffer | LongBody | undefined,
 		cancellation: Cancellation,
 		run: DeduplicatedRun | undefined,
 	): Promise<void> {
+		const isStreamed = body !== undefined && !Buffer.isBuffer(body);
+		if (isStreamed && await hasCallerLeft(body, cancellation)) {
+			placement.units.release();
+			this.#rejectRun(ctx, rejectCallerLeft(), run);
+			return;
+		}
+
 		this.#logPlacement('dispatch', ctx, placement, undefined);
 		const delivery = new Delivery({
 			clock: this.deps.clock,
@@ -163,11 +170,10 @@
 			delivery.handleCallerDisconnect();
 		};
 
-		const isStreamed = body !== undefined && !Buffer.isBuffer(body);
 		const stopWatching = isStreamed
 			? this.deps.stalls.watch(ctx.req, () => {
 				delivery.handleCallerStall();
-			})
+			}, body)
 			: undefined;
 		const result = await delivery.run(placement);
 		stopWatching?.();
@@ -214,7 +220,7 @@
 	}
 
 	/** Forwards a request to a peer that likely has room. @returns whether the request has finished. */
-	async #forwardToPeer(ctx: RequestContext, body: Buffer | IncomingMessage | undefined, blockedBy: string, cancellation: Cancellation): Promise<boolean> {
+	async #forwardToPeer(ctx: RequestContext, body: Buffer | LongBody | undefined, blockedBy: string, cancellation: Cancellation): Promise<boolean> {
 		const {peers, region} = this.deps;
 		const hasNoShift = blockedBy === (RejectionCode.NoShift as string);
 		const target = hasNoShift ? ctx.home ?? region : region;
@@ -252,11 +258,15 @@
 	}
 
 	/** Forwards a request to one peer; resolves when the peer's response is complete or forwarding failed. */
-	async forward(ctx: RequestContext, peer: PeerAddress, body: Buffer | IncomingMessage | undefined, reason: string, cancellation: Cancellation): Promise<ForwardResult> {
+	async forward(ctx: RequestContext, peer: PeerAddress, body: Buffer | LongBody | undefined, reason: string, cancellation: Cancellation): Promise<ForwardResult> {
 		if (!this.deps.stopDeadline.allows(ctx)) {
 			return {mayHaveReachedPeer: false, refusal: rejectStopping(), peerRoom: undefined};
 		}
 
+		if (body !== undefined && !Buffer.isBuffer(body) && await hasCallerLeft(body, cancellation)) {
+			return {mayHaveReachedPeer: false, refusal: rejectCallerLeft(), peerRoom: undefined};
+		}
+
 		this.deps.log.info({
 			event: 'forward', reqId: ctx.logId, service: ctx.service.name, member: ctx.member.name, peer: peer.id, reason,
 		});
@@ -296,3 +306,13 @@
 		this.#logPlacement(kind, ctx, placement, cause);
 	}
 }
+
+/** Whether the caller has left, after what had arrived of its body is read: the end of its connection lies behind that. */
+async function hasCallerLeft(body: LongBody, cancellation: Cancellation): Promise<boolean> {
+	await body.readArrived();
+	return cancellation.isCancelled;
+}
+
+function rejectCallerLeft(): Rejection {
+	return rejectNotRun(RejectionCode.CallerLeft, 499, 'the caller left before the request was sent');
+}
--- a/packages/daemon/src/request/stall-detector.ts
+++ b/packages/daemon/src/request/stall-detector.ts
@@ -1,9 +1,11 @@
 import type {IncomingMessage} from 'node:http';
+import type {LongBody} from '@apricotwood/admission';
 import {sleep, type Clock} from '@apricotwood/clock';
 
 type WatchedBody = {
 	readonly req: IncomingMessage;
 	readonly onStall: () => void;
+	readonly body: LongBody | undefined;
 	bytes: number;
 	lastProgressMs: number;
 };
@@ -17,10 +19,10 @@
 
 	constructor(private readonly clock: Clock, private readonly stallMs: number) {}
 
-	/** Watches a request until its body stalls. @returns a function that stops watching. */
-	watch(req: IncomingMessage, onStall: () => void): () => void {
+	/** Watches a request until its body stalls. @param body holds what has been read and not sent yet. @returns a function that stops watching. */
+	watch(req: IncomingMessage, onStall: () => void, body?: LongBody): () => void {
 		const entry: WatchedBody = {
-			req, onStall, bytes: req.socket.bytesRead, lastProgressMs: this.clock.monotonic(),
+			req, onStall, body, bytes: req.socket.bytesRead, lastProgressMs: this.clock.monotonic(),
 		};
 		this.#watched.add(entry);
 		return () => {
@@ -36,13 +38,13 @@
 		}
 	}
 
-	/** Reports stalled bodies. A body has not stalled while bytes arrive or this host has not read what arrived. */
+	/** Reports stalled bodies. A body has not stalled while bytes arrive or this host has not sent what arrived. */
 	check(): void {
 		const nowMs = this.clock.monotonic();
 		for (const entry of this.#watched) {
 			const {bytesRead} = entry.req.socket;
-			const hasUnreadData = entry.req.readableLength > 0;
-			if (bytesRead !== entry.bytes || hasUnreadData || entry.req.complete) {
+			const hasUnsentData = entry.req.readableLength > 0 || (entry.body?.heldBytes ?? 0) > 0;
+			if (bytesRead !== entry.bytes || hasUnsentData || entry.req.complete) {
 				entry.bytes = bytesRead;
 				entry.lastProgressMs = nowMs;
 				continue;
--- a/packages/daemon/src/upstream/attempt.ts
+++ b/packages/daemon/src/upstream/attempt.ts
@@ -1,5 +1,5 @@
 import {Buffer} from 'node:buffer';
-import type {IncomingMessage} from 'node:http';
+import type {LongBody} from '@apricotwood/admission';
 import {errors, type Dispatcher} from 'undici';
 import {AttemptEvent, AttemptLifecycle, AttemptPhase} from '../request/attempt-lifecycle.js';
 import {RejectionCode} from '../request/rejection.js';
@@ -11,8 +11,8 @@
 	readonly path: string;
 	/** Alternating names and values. */
 	readonly headers: string[];
-	/** Buffered body, or the caller's request as a stream. */
-	readonly body: Buffer | IncomingMessage | undefined;
+	/** Buffered body, or one that is streamed as it arrives. */
+	readonly body: Buffer | LongBody | undefined;
 	/** Id unique to this attempt; a response that echoes a different id belongs to another attempt. */
 	readonly attemptId: string;
 	/** Whether the target is a peer, whose apricotwood headers are relayed. */
@@ -198,11 +198,11 @@
 		|| parsedHeaders['content-length'] !== undefined || parsedHeaders['transfer-encoding'] !== undefined;
 }
 
-/** Converts a body for undici. Iterates the caller's stream without destroying it, so that a failed attempt does not close the caller's connection. */
+/** Converts a body for undici. */
 function toDispatchBody(body: AttemptRequest['body']): Buffer | AsyncIterable<Buffer> | null {
 	if (body === undefined) {
 		return null;
 	}
 
-	return Buffer.isBuffer(body) ? body : body.iterator({destroyOnReturn: false});
+	return Buffer.isBuffer(body) ? body : body.stream();
 }
--- a/packages/entry/src/host/caller-service.ts
+++ b/packages/entry/src/host/caller-service.ts
@@ -1,3 +1,4 @@
+import {HeldBytes} from '@apricotwood/admission';
 import type {Clock, Random} from '@apricotwood/clock';
 import {hashText} from '@apricotwood/routing';
 import {
@@ -7,7 +8,6 @@
 import type {Dialect} from '../dialect.js';
 import type {MemberList} from '../peer/members.js';
 import {Ingress} from '../request/ingress.js';
-import {HeldBytes} from '../request/long-body.js';
 import {RequestForwarder} from '../request/request-forwarder.js';
 import {RetryDetector} from '../request/retry-detector.js';
 import type {RunningAttempt, SessionDeps} from '../request/session-deps.js';
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -32,7 +32,6 @@
 export {IsolationReports} from './peer/isolation-reports.js';
 export {WorkerFeedback, type AnsweredRequest, type WorkerFeedbackDeps} from './upstream/worker-feedback.js';
 export {DrainReports, type DrainReportsDeps} from './peer/drain-reports.js';
-export {HeldBytes, LongBody} from './request/long-body.js';
 export {RejectionCode, type Rejection} from './request/rejection.js';
 export {
 	RequestForwarder, type ForwardableRequest, type RequestForwarderDeps, type PeerSender,
--- a/packages/entry/src/request/body.ts
+++ b/packages/entry/src/request/body.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
-import {LongBody, type HeldBytes} from './long-body.js';
+import {LongBody, type HeldBytes} from '@apricotwood/admission';
 
 /** Result of reading a request body. */
 export enum BodyReadResult {
--- a/packages/entry/src/request/session-deps.ts
+++ b/packages/entry/src/request/session-deps.ts
@@ -1,3 +1,4 @@
+import type {HeldBytes} from '@apricotwood/admission';
 import type {Clock, Random} from '@apricotwood/clock';
 import type {
 	RoundTripTimes, LoadTracker, Placer, ReachabilityTracker, ReportInterval, RetryBudget, TrafficSplitter, ServiceTimeEstimator, WaitingRequests, ObjectCacheModel, WorkerAvailability, WorkerHealthTracker,
@@ -8,7 +9,6 @@
 import type {ConnectionPool} from '../upstream/pool.js';
 import type {WorkerFeedback} from '../upstream/worker-feedback.js';
 import type {CrashGuard} from './crash-guard.js';
-import type {HeldBytes} from './long-body.js';
 import type {RequestForwarder} from './request-forwarder.js';
 import type {RetryDetector} from './retry-detector.js';
 import type {ShutdownReport} from './shutdown-report.js';
--- a/test/entry/large-uploads.test.ts
+++ b/test/entry/large-uploads.test.ts
@@ -8,7 +8,8 @@
 	after, afterEach, before, beforeEach, test,
 } from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
-import {HeldBytes, LongBody, resetSocket} from '@apricotwood/entry';
+import {HeldBytes, LongBody} from '@apricotwood/admission';
+import {resetSocket} from '@apricotwood/entry';
 import {
 	FakeStore, addressOf, createOperatorConfig, listen,
 } from '@apricotwood/platform/standin';
