--- a/packages/daemon/src/request/headers.ts
+++ b/packages/daemon/src/request/headers.ts
@@ -124,13 +124,13 @@
 	return !HOP_BY_HOP.has(lowerName) && !(connectionOptions?.has(lowerName));
 }
 
-/** Parses the header names that a `Connection` header marks as hop-by-hop; `undefined` if it names none. */
-export function readConnectionOptions(value: string | undefined): ReadonlySet<string> | undefined {
+/** Parses the header names that a `Connection` header, of which there may be several lines, marks as hop-by-hop; `undefined` if it names none. */
+export function readConnectionOptions(value: string | string[] | undefined): ReadonlySet<string> | undefined {
 	if (value === undefined || value === 'keep-alive' || value === 'close') {
 		return undefined;
 	}
 
-	return new Set(value.toLowerCase().split(',').map(option => option.trim()));
+	return new Set([value].flat().join(',').toLowerCase().split(',').map(option => option.trim()));
 }
 
 /** Copies the end-to-end headers of a request without `host`, `content-length` and apricotwood headers, as alternating names and values. */
--- a/packages/daemon/src/upstream/attempt.ts
+++ b/packages/daemon/src/upstream/attempt.ts
@@ -171,7 +171,7 @@
 	/** Copies the end-to-end headers of a response; drops `apricotwood-` headers of workers. */
 	#copyResponseHeaders(parsedHeaders: Readonly<Record<string, string | string[]>>): string[] {
 		const headers: string[] = [];
-		const connectionOptions = readConnectionOptions(parsedHeaders.connection as string | undefined);
+		const connectionOptions = readConnectionOptions(parsedHeaders.connection);
 		for (const [name, value] of Object.entries(parsedHeaders)) {
 			const isReserved = !this.request.isPeer && name.startsWith('apricotwood-');
 			if (isReserved || !isEndToEnd(name, connectionOptions)) {
--- a/packages/standin/src/worker.ts
+++ b/packages/standin/src/worker.ts
@@ -27,6 +27,8 @@
 	Unframed = 'unframed',
 	/** Runs the request and responds with status 500. */
 	Error = 'error',
+	/** Runs the request and sends a complete response with two `Connection` lines. */
+	TwoConnectionLines = 'two-connection-lines',
 }
 
 /** Record of one request that a worker ran. */
@@ -240,6 +242,14 @@
 				return;
 			}
 
+			case Behaviour.TwoConnectionLines: {
+				res.writeHead(200, {
+					...headers, connection: ['keep-alive', 'x-hop'], 'x-hop': '1', 'content-length': Buffer.byteLength(body),
+				});
+				res.end(body);
+				return;
+			}
+
 			case Behaviour.Answer:
 			case Behaviour.ResetBefore:
 			case Behaviour.Shed: {
--- a/test/faults/upstreams.test.ts
+++ b/test/faults/upstreams.test.ts
@@ -53,6 +53,7 @@
 	{name: 'a request without a response has an unknown outcome at the deadline', behaviour: Behaviour.Silent, isOnce: false, kind: 'desk', outcome: 'unknown', code: 'upstream-late', maxRuns: 1},
 	{name: 'a truncated response is truncated for the caller too', behaviour: Behaviour.Truncate, isOnce: false, kind: 'desk', outcome: 'answered', maxRuns: 1, isTruncated: true},
 	{name: 'a response that stalls is truncated for the caller', behaviour: Behaviour.Stall, isOnce: false, kind: 'board', outcome: 'answered', maxRuns: 1, isTruncated: true},
+	{name: 'a response with two Connection lines is relayed', behaviour: Behaviour.TwoConnectionLines, isOnce: false, kind: 'desk', outcome: 'answered', maxRuns: 1},
 	{name: 'an error response of an upstream is relayed', behaviour: Behaviour.Error, isOnce: false, kind: 'desk', outcome: 'answered', maxRuns: 1},
 ];
 
