--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -90,7 +90,7 @@
 		this.#shutdownReport = new ShutdownReport({clock, log, metrics});
 		this.members = new MemberList(settings.self);
 		this.#peerPool = new ConnectionPool({
-			clock, metrics, connector: createTcpConnector(), onConnect() {}, onConnectFailure() {},
+			clock, log, metrics, connector: createTcpConnector(), onConnect() {}, onConnectFailure() {},
 		});
 		this.#hostState = this.#createState();
 		this.state = this.#hostState.replica;
--- a/packages/entry/src/request/ingress.ts
+++ b/packages/entry/src/request/ingress.ts
@@ -128,8 +128,21 @@
 
 			await this.#serve(req, res, isForwarded);
 		} catch (error) {
-			this.deps.log.error({event: 'request-failed', url: req.url, message: (error as Error).stack});
+			this.#fail(req, res, error as Error);
+		}
+	}
+
+	/** Ends a request after an unexpected exception. */
+	#fail(req: IncomingMessage, res: ServerResponse, error: Error): void {
+		this.deps.metrics.count('requests.exceptions');
+		this.deps.log.error({
+			event: 'request-failed', id: this.deps.dialect.parseRequestHeaders(req.headers).requestId, url: req.url, message: error.stack,
+		});
+		try {
 			sendRejection(res, createUnknownOutcomeRejection(RejectionCode.Unknown, 'this host failed to handle the request'));
+		} catch {
+			// The response is in a state that nothing can be written in.
+			resetSocket(req.socket);
 		}
 	}
 
--- a/packages/entry/src/request/rejection.ts
+++ b/packages/entry/src/request/rejection.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
+import {resetSocket} from '../socket.js';
 
 /** Reason why a request ends without a worker's response. */
 export enum RejectionCode {
@@ -54,9 +55,13 @@
 	return {code, status: code === RejectionCode.Timeout ? 504 : 502, message};
 }
 
-/** Sends a rejection to the caller; closes the connection if a response has already started. */
+/** Sends a rejection to the caller; resets the connection if a response has already started, as one without a length would look complete otherwise. */
 export function sendRejection(res: ServerResponse, {code, status, message, retryAfterMs}: Rejection): void {
 	if (res.headersSent || res.destroyed) {
+		if (res.socket) {
+			resetSocket(res.socket);
+		}
+
 		res.destroy();
 		return;
 	}
--- a/packages/entry/src/upstream/connection.ts
+++ b/packages/entry/src/upstream/connection.ts
@@ -1,5 +1,7 @@
+import type {EventEmitter} from 'node:events';
 import type {Socket} from 'node:net';
 import {hashText} from '@apricotwood/routing';
+import {deferEnd, guardEvents, type ExceptionListener} from '@apricotwood/supervisor';
 import {Client} from 'undici';
 import {resetSocket, wasResetAtEnd} from '../socket.js';
 import {createTcpConnector, type Connector} from './connector.js';
@@ -10,14 +12,16 @@
 /** Number of requests after which a connection is not used again, so that the ids that it remembers stay few. */
 const MAX_REQUESTS = 256;
 
-/** Receives the outcome of opening a connection. */
-export type ConnectListener = {
+/** Receives the outcome of opening a connection, and what fails unexpectedly on it. */
+export type ConnectionListener = {
 	/** @param durationMs duration of the set-up, ms. */
 	readonly onConnect: (durationMs: number) => void;
 	readonly onConnectFailure: () => void;
+	/** Called at most once, after an unexpected exception. @param requestId id of the last request on the connection. */
+	readonly onException: (error: Error, requestId: string | undefined) => void;
 };
 
-const NO_LISTENER: ConnectListener = {onConnect() {}, onConnectFailure() {}};
+const NO_LISTENER: ConnectionListener = {onConnect() {}, onConnectFailure() {}, onException() {}};
 
 /** A connection to a worker that carries one request at a time. */
 export class Connection {
@@ -31,12 +35,16 @@
 	idleSinceMs = 0;
 	/** Called whenever bytes have arrived from the worker. */
 	onBytesReceived: () => void = () => {};
+	/** Called when the request in flight fails by an unexpected exception. */
+	onException: ExceptionListener = () => {};
+	#hasFailed = false;
 	#requestCount = 0;
+	#requestId: string | undefined;
 	/** Hashes of the ids of its requests. */
 	readonly #requestIds = new Set<number>();
 
 	/** @param address `IP:port`. */
-	constructor(address: string, connector: Connector = createTcpConnector(), listener = NO_LISTENER) {
+	constructor(address: string, connector: Connector = createTcpConnector(), private readonly listener = NO_LISTENER) {
 		this.client = new Client(`http://${address}`, {
 			connect: (options, callback) => {
 				const startMs = performance.now();
@@ -60,6 +68,10 @@
 		this.client.on('disconnect', () => {
 			this.#isClosed = true;
 		});
+		// Not in undici's types; without a listener, an exception that undici has caught would end the process.
+		(this.client as EventEmitter).on('error', error => {
+			this.fail(error as Error);
+		});
 	}
 
 	/** Whether the socket failed with an error, such as a reset: a response that is delimited by the end of the connection is then incomplete. */
@@ -113,6 +125,7 @@
 	/** Records a request that is started on this connection. */
 	begin(requestId: string | undefined): void {
 		this.#requestCount++;
+		this.#requestId = requestId;
 		if (requestId !== undefined) {
 			this.#requestIds.add(hashText(requestId));
 		}
@@ -127,6 +140,19 @@
 		}
 	}
 
+	/** Ends the request in flight after an unexpected exception, and resets the connection, whose state is unknown then. */
+	fail(error: Error): void {
+		if (this.#hasFailed) {
+			return;
+		}
+
+		this.#hasFailed = true;
+		this.listener.onException(error, this.#requestId);
+		this.onException(error);
+		this.reset();
+		this.close();
+	}
+
 	/** Closes the connection and fails a request in flight on it. */
 	close(): void {
 		this.#isClosed = true;
@@ -138,6 +164,10 @@
 	/** Adds listeners to the socket. They must run before those of undici: on a connection without keep-alive, undici treats any end of the connection as the end of the response, and `wasReset` has to be set by then. */
 	#trackSocket(socket: Socket): void {
 		this.#socket = socket;
+		deferEnd(socket);
+		guardEvents(socket, error => {
+			this.fail(error);
+		});
 		// After the end, `#checkEnd` decides; undici destroys the socket with an error of its own then.
 		socket.on('error', () => {
 			this.#wasReset ||= !this.#isEndReceived;
--- a/packages/entry/src/upstream/exchange.ts
+++ b/packages/entry/src/upstream/exchange.ts
@@ -4,6 +4,7 @@
 import type {Dispatcher} from 'undici';
 import type {ResponseHeaders, ResponseMetadata, Dialect} from '../dialect.js';
 import type {Connection} from './connection.js';
+import {GuardedHandler, type ExchangeEvents} from './guarded-handler.js';
 
 /** A request to a worker. */
 export type ExchangeRequest = {
@@ -105,7 +106,7 @@
  * must not be forwarded are bounded here. Other bodies are bounded by the deadline
  * of the request.
  */
-export class Exchange implements Dispatcher.DispatchHandler {
+export class Exchange implements ExchangeEvents {
 	#controller: Dispatcher.DispatchController | undefined;
 	#wasSent = false;
 	#isSettled = false;
@@ -154,9 +155,17 @@
 				this.#checkOverhead();
 			};
 
-			this.connection.client.dispatch({
-				method, path, headers, body: body ?? null,
-			}, this);
+			this.connection.onException = error => {
+				this.#settle(this.#classifyError(), error.message, false);
+			};
+
+			this.#guard(() => {
+				this.connection.client.dispatch({
+					method, path, headers, body: body ?? null,
+				}, new GuardedHandler(this, error => {
+					this.connection.fail(error);
+				}));
+			});
 		});
 	}
 
@@ -165,7 +174,9 @@
 		this.#isCancelled = true;
 		this.#settle(this.#isStreaming ? ExchangeEnd.Truncated : ExchangeEnd.Cancelled, 'request was cancelled by this host', false);
 		this.connection.reset();
-		this.#controller?.abort(new Error('request was cancelled'));
+		this.#guard(() => {
+			this.#controller?.abort(new Error('request was cancelled'));
+		});
 		this.connection.close();
 	}
 
@@ -185,7 +196,6 @@
 		this.#wasSent = true;
 	}
 
-	/** Called at the first byte of each response head. */
 	onResponseStarted(): void {
 		this.#headTimer?.cancel();
 		this.#headTimer = this.clock.after(HEAD_TIMEOUT_MS, () => {
@@ -223,7 +233,8 @@
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-		if (this.#isSettled) {
+		// When it is resumed, the parser reports no bytes at first; its end may follow, so it must not be paused again for them.
+		if (this.#isSettled || chunk.length === 0) {
 			return;
 		}
 
@@ -247,7 +258,9 @@
 		}
 
 		const isSinkReady = this.sink.write(chunk, () => {
-			controller.resume();
+			this.#guard(() => {
+				controller.resume();
+			});
 		});
 		if (!isSinkReady) {
 			controller.pause();
@@ -293,6 +306,15 @@
 		this.connection.close();
 	}
 
+	/** Calls the library from outside of its callbacks. An exception ends this exchange only. */
+	#guard(call: () => void): void {
+		try {
+			call();
+		} catch (error) {
+			this.connection.fail(error as Error);
+		}
+	}
+
 	#classifyError(): ExchangeEnd {
 		if (this.#isStreaming) {
 			return ExchangeEnd.Truncated;
--- a/packages/entry/src/upstream/health-checker.ts
+++ b/packages/entry/src/upstream/health-checker.ts
@@ -81,12 +81,19 @@
 	}
 
 	async #probe(worker: Worker, path: string, signal: AbortSignal): Promise<{hasPassed: boolean; coldMs: number; message?: string}> {
-		const {clock, dialect, workerFeedback} = this.deps;
+		const {clock, dialect, workerFeedback, log, metrics} = this.deps;
 		const {registration: entry} = worker;
 		const sentAtMs = clock.monotonic();
 		let connection: Connection | undefined;
 		try {
-			connection = new Connection(entry.address, this.deps.connector);
+			connection = new Connection(entry.address, this.deps.connector, {
+				onConnect() {},
+				onConnectFailure() {},
+				onException(error) {
+					metrics.count('upstream.exceptions');
+					log.error({event: 'check-failed', worker: entry.id, message: error.stack});
+				},
+			});
 			const res = await connection.client.request({
 				method: 'GET', path, signal: AbortSignal.any([signal, AbortSignal.timeout(CHECK_TIMEOUT_MS)]),
 			});
--- a/packages/entry/src/upstream/pool.ts
+++ b/packages/entry/src/upstream/pool.ts
@@ -1,5 +1,5 @@
 import type {Clock} from '@apricotwood/clock';
-import type {Metrics} from '@apricotwood/telemetry';
+import type {Log, Metrics} from '@apricotwood/telemetry';
 import {Connection} from './connection.js';
 import type {Connector} from './connector.js';
 
@@ -36,6 +36,7 @@
 /** Dependencies of `ConnectionPool`. */
 export type ConnectionPoolDeps = {
 	readonly clock: Clock;
+	readonly log: Log;
 	readonly metrics: Metrics;
 	readonly connector: Connector;
 	/** Called when a connection was opened. @param durationMs duration of the set-up, ms. */
@@ -64,7 +65,7 @@
 	 * from its own.
 	 */
 	acquire(worker: string, address: string, {requestId, isNonIdempotent}: ConnectionUse): Connection {
-		const {clock, metrics, connector, onConnect, onConnectFailure} = this.deps;
+		const {clock, log, metrics, connector, onConnect, onConnectFailure} = this.deps;
 		const connections = this.#connectionsOf(worker, address);
 		const nowMs = clock.monotonic();
 		for (let index = connections.idle.length - 1; index >= 0; index--) {
@@ -91,6 +92,12 @@
 			onConnectFailure() {
 				onConnectFailure(worker);
 			},
+			onException(error, id) {
+				metrics.count('upstream.exceptions');
+				log.error({
+					event: 'exchange-failed', id, worker, message: error.stack,
+				});
+			},
 		});
 	}
 
--- a/test/entry/pool.test.ts
+++ b/test/entry/pool.test.ts
@@ -5,7 +5,7 @@
 	ConnectionPool, Exchange, ExchangeEnd, computeMaxIdleConnections, createTcpConnector, type Connection,
 } from '@apricotwood/entry';
 import {PlatformHeaderCodec} from '@apricotwood/platform';
-import {Metrics} from '@apricotwood/telemetry';
+import {Metrics, NOOP_LOG} from '@apricotwood/telemetry';
 import {RawWorker} from '../fixtures/raw-worker.js';
 
 const EMPTY_RESPONSE = 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n';
@@ -21,7 +21,7 @@
 	const worker = await new RawWorker(socket => socket.write(EMPTY_RESPONSE)).start();
 	return {
 		clock, worker, pool: new ConnectionPool({
-			clock, metrics: new Metrics(), connector: createTcpConnector(), onConnect() {}, onConnectFailure() {},
+			clock, log: NOOP_LOG, metrics: new Metrics(), connector: createTcpConnector(), onConnect() {}, onConnectFailure() {},
 		}),
 	};
 }
