--- a/packages/entry/src/request/response-writer.ts
+++ b/packages/entry/src/request/response-writer.ts
@@ -20,17 +20,13 @@
 		return this.res.statusCode;
 	}
 
+	/** Starts a response that is streamed. One without a length gets chunks, as the end of this process would look like the end of the response otherwise; not for a caller of HTTP/1.0, which cannot read them. */
 	start(head: ResponseHead): void {
 		if (this.res.destroyed) {
 			return;
 		}
 
 		this.#closeIfLeaving();
-		if (!head.isFramed) {
-			// A response without a length is delimited by the end of the connection; the caller receives it in the same form, without a length or chunks.
-			this.res.useChunkedEncodingByDefault = false;
-		}
-
 		this.res.writeHead(head.status, copyResponseHeaders(head.headers));
 	}
 
@@ -48,8 +44,12 @@
 		this.res.end();
 	}
 
-	/** Sends a worker's response that was buffered completely. */
+	/** Sends a worker's response that was buffered completely. One without a length keeps its form: a worker that has crashed may have ended it, and a length or chunks would mark it as complete. */
 	send(head: ResponseHead, body: Buffer): void {
+		if (!head.isFramed) {
+			this.res.useChunkedEncodingByDefault = false;
+		}
+
 		this.start(head);
 		this.res.end(body);
 	}
