--- a/packages/daemon/src/host/components.ts
+++ b/packages/daemon/src/host/components.ts
@@ -100,7 +100,14 @@
 	const auth = new PeerAuth(clusterKey, clock);
 	const signer = new TicketSigner(clusterKey);
 	const forwarder = new Forwarder({
-		clock, auth, hostId: settings.id, stallMs: request.stallMs,
+		clock,
+		auth,
+		hostId: settings.id,
+		stallMs: request.stallMs,
+		onException(error) {
+			metrics.count('upstream.exceptions');
+			log.error({event: 'connection-failed', message: error.stack});
+		},
 	});
 	const peerClient = new PeerClient(auth, settings.id);
 	const directory = new HostDirectory({
--- a/packages/daemon/src/peer/forward.ts
+++ b/packages/daemon/src/peer/forward.ts
@@ -2,9 +2,11 @@
 import type {IncomingMessage} from 'node:http';
 import {Pool} from 'undici';
 import type {Clock, Timer} from '@apricotwood/clock';
+import type {ExceptionListener} from '@apricotwood/supervisor';
 import {
 	Attempt, type ResponseHead, type AttemptFailure, type AttemptListener,
 } from '../upstream/attempt.js';
+import {createGuardedConnector} from '../upstream/connector.js';
 import {
 	RejectionCode, rejectUnknown, rejectNotRun, type Rejection,
 } from '../request/rejection.js';
@@ -49,6 +51,8 @@
 	readonly hostId: string;
 	/** Longest pause in a peer's response body, ms. */
 	readonly stallMs: number;
+	/** Called after an unexpected exception on a connection to a peer, which is closed then. */
+	readonly onException: ExceptionListener;
 };
 
 /** Forwards requests to other hosts and relays their responses. */
@@ -92,7 +96,11 @@
 		let pool = this.#pools.get(origin);
 		if (!pool) {
 			pool = new Pool(origin, {
-				connections: MAX_CONNECTIONS_PER_PEER, pipelining: 1, headersTimeout: 0, bodyTimeout: this.options.stallMs, connect: {timeout: CONNECT_TIMEOUT_MS},
+				connections: MAX_CONNECTIONS_PER_PEER,
+				pipelining: 1,
+				headersTimeout: 0,
+				bodyTimeout: this.options.stallMs,
+				connect: createGuardedConnector(CONNECT_TIMEOUT_MS, this.options.onException),
 			});
 			this.#pools.set(origin, pool);
 		}
--- a/packages/daemon/src/upstream/attempt.ts
+++ b/packages/daemon/src/upstream/attempt.ts
@@ -132,7 +132,8 @@
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-		if (this.phase === AttemptPhase.Responding && !this.listener.onData(this, chunk)) {
+		// When it is resumed, the parser reports no bytes at first; its end may follow, so it must not be paused again for them.
+		if (this.phase === AttemptPhase.Responding && chunk.length > 0 && !this.listener.onData(this, chunk)) {
 			controller.pause();
 		}
 	}
--- a/packages/daemon/src/upstream/worker-link.ts
+++ b/packages/daemon/src/upstream/worker-link.ts
@@ -6,6 +6,8 @@
 import type {Clock} from '@apricotwood/clock';
 import type {Holding} from '@apricotwood/ledger';
 import type {Sample, WorkerView} from '@apricotwood/routing';
+import type {ExceptionListener} from '@apricotwood/supervisor';
+import {createGuardedConnector} from './connector.js';
 
 /** Backoff after the first connection failure, ms; doubles up to `MAX_BACKOFF_MS`. */
 const INITIAL_BACKOFF_MS = 250;
@@ -26,6 +28,16 @@
 	Removed = 'removed',
 }
 
+/** Options of a {@link WorkerLink}. */
+export type WorkerLinkOptions = {
+	readonly clock: Clock;
+	/** Longest pause in a response body, ms. */
+	readonly stallMs: number;
+	readonly onPhaseChange: (link: WorkerLink, phase: WorkerPhase) => void;
+	/** Called after an unexpected exception on a connection, which is closed then. */
+	readonly onException: ExceptionListener;
+};
+
 /** Connection pool, load, concurrency limit and lifecycle of one upstream worker on this host. */
 export class WorkerLink {
 	readonly limit: AdaptiveLimit;
@@ -44,13 +56,11 @@
 		readonly worker: Worker,
 		readonly zone: string,
 		readonly holding: Holding,
-		private readonly clock: Clock,
-		private readonly stallMs: number,
-		private readonly onPhaseChange: (link: WorkerLink, phase: WorkerPhase) => void,
+		private readonly options: WorkerLinkOptions,
 	) {
-		this.limit = new AdaptiveLimit(clock.monotonic());
+		this.limit = new AdaptiveLimit(options.clock.monotonic());
 		this.lifecycle = new WorkerLifecycle(phase => {
-			this.onPhaseChange(this, phase);
+			options.onPhaseChange(this, phase);
 		});
 		this.pool = this.#createPool();
 	}
@@ -62,7 +72,7 @@
 
 	/** Maximum number of units that may be in use at present; 0 if no new work may start. */
 	get usable(): number {
-		return this.lifecycle.canAcceptWork ? this.limit.usableUnits(this.holding.granted, this.clock.monotonic()) : 0;
+		return this.lifecycle.canAcceptWork ? this.limit.usableUnits(this.holding.granted, this.options.clock.monotonic()) : 0;
 	}
 
 	/** Number of units that a new attempt may use at present. */
@@ -113,8 +123,8 @@
 
 	/** Records a complete response and its latency, ms. */
 	recordResponse(latencyMs: number): void {
-		this.limit.recordResponse(latencyMs, this.clock.monotonic());
-		this.#latency = {value: this.limit.latencyMs ?? latencyMs, atMs: this.clock.now()};
+		this.limit.recordResponse(latencyMs, this.options.clock.monotonic());
+		this.#latency = {value: this.limit.latencyMs ?? latencyMs, atMs: this.options.clock.now()};
 		this.#consecutiveFailures = 0;
 		this.#responsesSinceJoin++;
 		if (this.#responsesSinceJoin >= RESPONSES_UNTIL_SERVING && this.lifecycle.phase === WorkerPhase.Joining) {
@@ -124,7 +134,7 @@
 
 	/** Records a request that the worker shed. */
 	recordShed(): void {
-		this.limit.recordShed(this.clock.monotonic());
+		this.limit.recordShed(this.options.clock.monotonic());
 	}
 
 	/** Records a failed connection attempt or a reset; the worker is suspect until the backoff ends. */
@@ -136,7 +146,7 @@
 		const backoffMs = Math.min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS * (2 ** this.#consecutiveFailures));
 		this.#consecutiveFailures++;
 		this.lifecycle.send(WorkerEvent.Fail);
-		this.clock.after(backoffMs, () => {
+		this.options.clock.after(backoffMs, () => {
 			if (this.lifecycle.phase === WorkerPhase.Suspect) {
 				this.#rejoin(WorkerEvent.Recover);
 			}
@@ -145,7 +155,7 @@
 
 	#rejoin(event: WorkerEvent): void {
 		this.#responsesSinceJoin = 0;
-		this.limit.reset(this.clock.monotonic());
+		this.limit.reset(this.options.clock.monotonic());
 		this.lifecycle.send(event);
 	}
 
@@ -156,6 +166,7 @@
 	}
 
 	#createPool(): Pool {
+		const {stallMs, onException} = this.options;
 		const {address, port, slots, connections} = this.worker;
 		const host = address.includes(':') ? `[${address}]` : address;
 		return new Pool(`http://${host}:${port}`, {
@@ -163,8 +174,8 @@
 			pipelining: 1,
 			keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
 			headersTimeout: 0,
-			bodyTimeout: this.stallMs,
-			connect: {timeout: CONNECT_TIMEOUT_MS},
+			bodyTimeout: stallMs,
+			connect: createGuardedConnector(CONNECT_TIMEOUT_MS, onException),
 		});
 	}
 }
--- a/packages/daemon/src/upstream/worker-registry.ts
+++ b/packages/daemon/src/upstream/worker-registry.ts
@@ -92,11 +92,19 @@
 			this.#remove(existing);
 		}
 
-		const {clock, holdings, stallMs} = this.options;
+		const {clock, holdings, stallMs, log, metrics} = this.options;
 		const zone = state.zoneOfSite(worker.site) ?? '';
 		const holding = holdings.get(`${ResourceKind.Worker}/${worker.name}`);
-		const link = new WorkerLink(worker, zone, holding, clock, stallMs, (changed, phase) => {
-			this.#handlePhaseChange(changed, phase);
+		const link = new WorkerLink(worker, zone, holding, {
+			clock,
+			stallMs,
+			onPhaseChange: (changed, phase) => {
+				this.#handlePhaseChange(changed, phase);
+			},
+			onException(error) {
+				metrics.count('upstream.exceptions');
+				log.error({event: 'connection-failed', worker: worker.name, message: error.stack});
+			},
 		});
 		this.#byName.set(worker.name, link);
 		link.setLeaveReason(LeaveReason.Operator, state.isWorkerDrained(worker));
