--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -15,7 +15,7 @@
 import {streamBody, type RequestBody} from './body.js';
 import type {RequestFingerprint} from './fingerprint.js';
 import type {PeerSender} from './request-forwarder.js';
-import {FORWARDED_HEADER, copyRequestHeaders} from './headers.js';
+import {FORWARDED_HEADER, REACHED_WORKER_HEADER, copyRequestHeaders} from './headers.js';
 import {FIRST_ERROR_STATUS, NOT_RUN_STATUSES} from './response-selection.js';
 import type {SessionDeps} from './session-deps.js';
 import {DeadlineBound} from './shutdown-report.js';
@@ -33,6 +33,9 @@
 	end: ExchangeEnd.Withdrawn, mayHaveRun: false, isReusable: false, head: undefined, body: Buffer.alloc(0), message: 'request was cancelled before it was sent',
 };
 
+/** Ends of attempts that do not count, as nothing was sent. */
+export const UNSENT_ENDS: ReadonlySet<ExchangeEnd> = new Set([ExchangeEnd.Unreachable, ExchangeEnd.Withdrawn]);
+
 /** Log record of one attempt at a worker; the field names are part of the log format. */
 export type AttemptRecord = {
 	readonly worker: string;
@@ -65,6 +68,7 @@
 	#exchange: Exchange | undefined;
 	#isCancelled = false;
 	#mayHaveRun = false;
+	#hasReachedWorker = false;
 	#brokenAttempts = 0;
 
 	constructor(private readonly deps: SessionDeps, private readonly request: AttemptRequest, private readonly sink: ResponseSink) {}
@@ -74,6 +78,17 @@
 		return this.#mayHaveRun;
 	}
 
+	/** Whether the request has reached a worker, also by another host that then rejected it. */
+	get hasReachedWorker(): boolean {
+		return this.#hasReachedWorker;
+	}
+
+	/** Whether the request may be sent now. If it has reached a worker before, that takes a retry from the budget of this host. */
+	takeRetry(): boolean {
+		const {retryBudget, countHosts, clock} = this.deps;
+		return !this.#hasReachedWorker || retryBudget.tryTake(this.request.service, countHosts(), clock.monotonic());
+	}
+
 	/** Number of attempts at workers whose connection ended without a response. */
 	get brokenAttempts(): number {
 		return this.#brokenAttempts;
@@ -103,6 +118,7 @@
 		recordOutcome(this.deps, this.request, {
 			worker, placement, result, durationMs: record.ms!, networkMs, hasTimedOut: record.end === TIMEOUT_END,
 		});
+		this.#hasReachedWorker ||= !UNSENT_ENDS.has(result.end);
 		this.#brokenAttempts += Number(hasBrokenConnection(result));
 		onCapacityFreed();
 		return result;
@@ -127,6 +143,7 @@
 		const {head} = exchangeResult;
 		const isRejected = exchangeResult.end === ExchangeEnd.Answered && head !== undefined && !head.metadata.isSigned && (NOT_RUN_STATUSES.has(head.status) || isClientError(head.status));
 		const result = isRejected ? {...exchangeResult, mayHaveRun: false} : exchangeResult;
+		this.#hasReachedWorker ||= result.mayHaveRun || head?.headers[REACHED_WORKER_HEADER] !== undefined;
 		if (result.isReusable) {
 			peerPool.release(entry.id, address, connection);
 		} else {
--- a/packages/entry/src/request/headers.ts
+++ b/packages/entry/src/request/headers.ts
@@ -3,10 +3,12 @@
 
 /** Header of a request that a host passes on for a caller; its value is the id of that host. */
 export const FORWARDED_HEADER = 'x-forwarded-by-host';
+/** Header of the rejection of a request that another host has passed on: it has reached a worker, which did not run it. */
+export const REACHED_WORKER_HEADER = 'x-reached-worker';
 /** Hard limit of the HTTP parser, bytes; the configured limit is checked after parsing. */
 export const MAX_PARSED_HEADER_BYTES = 256 * 1024;
 /** Headers that are not forwarded: the hop-by-hop headers, which apply to a single connection, also that between two hosts, and `expect`, which Node.js has already answered and undici rejects. */
-const UNFORWARDED_HEADERS = new Set(['connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', FORWARDED_HEADER]);
+const UNFORWARDED_HEADERS = new Set(['connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', FORWARDED_HEADER, REACHED_WORKER_HEADER]);
 
 /**
  * Copies the request headers that are forwarded to a worker, as alternating names and values.
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -25,6 +25,8 @@
 /** Sends a request to another host. */
 export interface PeerSender {
 	sendToPeer(peer: Member): Promise<ExchangeResult>;
+	/** Whether the request may be sent now; a repeat takes a retry from the budget of this host. */
+	takeRetry(): boolean;
 }
 
 /** Dependencies of `RequestForwarder`. */
@@ -76,7 +78,7 @@
 		let last: ExchangeResult | undefined;
 		let isRejected = false;
 		for (const peer of this.listPeers(req.route)) {
-			if (!shutdownDeadline.allows(req) || clock.monotonic() >= req.deadlineAtMs) {
+			if (!shutdownDeadline.allows(req) || clock.monotonic() >= req.deadlineAtMs || !sender.takeRetry()) {
 				break;
 			}
 
--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -5,12 +5,13 @@
 } from '@apricotwood/steering';
 import type {RequestMetadata} from '../dialect.js';
 import {ExchangeEnd, type ExchangeResult} from '../upstream/exchange.js';
-import {AttemptSender} from './attempt.js';
+import {AttemptSender, UNSENT_ENDS} from './attempt.js';
 import {
 	BodyReadResult, hasBody, readBody, type RequestBody,
 } from './body.js';
 import {createQuarantineRejection, type GuardedRequest} from './crash-guard.js';
 import {RequestFingerprint} from './fingerprint.js';
+import {REACHED_WORKER_HEADER} from './headers.js';
 import {PlacementWaiter} from './placement-waiter.js';
 import {RejectionCode, createUnknownOutcomeRejection, type Rejection} from './rejection.js';
 import {ANSWERED_CODE, logRequestEnd, type EndedRequest} from './request-log.js';
@@ -21,8 +22,6 @@
 
 /** Shortest remaining time in which a retry is still sent, ms. */
 const MIN_ATTEMPT_MS = 20;
-/** Ends of attempts that do not count, as nothing was sent. */
-const UNSENT_ENDS: ReadonlySet<ExchangeEnd> = new Set([ExchangeEnd.Unreachable, ExchangeEnd.Withdrawn]);
 /** Result when no other host has received a request that was to be passed on. */
 const NOT_FORWARDED = Symbol('not forwarded');
 
@@ -219,7 +218,7 @@
 				return this.#rejections.rejectPlacement(placement, failure, sender.mayHaveRun);
 			}
 
-			if (sentCount > 0 && !this.deps.retryBudget.tryTake(this.#service, this.deps.countHosts(), this.deps.clock.monotonic())) {
+			if (!sender.takeRetry()) {
 				return failure;
 			}
 
@@ -343,6 +342,7 @@
 
 		this.#isFinished = true;
 		if (rejection && !this.#hasCallerLeft) {
+			this.#tellWhetherSent();
 			this.#writer.reject(rejection);
 		}
 
@@ -353,6 +353,13 @@
 		this.#log(this.#hasCallerLeft ? RejectionCode.CallerLeft : (rejection?.code ?? ANSWERED_CODE), rejection?.message);
 	}
 
+	/** Tells the host that has passed the request on whether sending it once more would be a repeat. */
+	#tellWhetherSent(): void {
+		if (this.isForwarded && this.#sender?.hasReachedWorker && !this.res.headersSent) {
+			this.res.setHeader(REACHED_WORKER_HEADER, '1');
+		}
+	}
+
 	#log(code: EndedRequest['code'], message: string | undefined): void {
 		logRequestEnd(this.deps, {
 			code,
--- a/test/entry/request-forwarder.test.ts
+++ b/test/entry/request-forwarder.test.ts
@@ -33,7 +33,12 @@
 class FakeSender implements PeerSender {
 	readonly peers: Member[] = [];
 
-	constructor(private readonly results: ReadonlyArray<Pick<ExchangeResult, 'end' | 'mayHaveRun'>>) {}
+	/** @param retries number of times that the request may be sent. */
+	constructor(private readonly results: ReadonlyArray<Pick<ExchangeResult, 'end' | 'mayHaveRun'>>, private readonly retries = Number.POSITIVE_INFINITY) {}
+
+	takeRetry(): boolean {
+		return this.peers.length < this.retries;
+	}
 
 	async sendToPeer(peer: Member): Promise<ExchangeResult> {
 		this.peers.push(peer);
@@ -90,6 +95,15 @@
 	});
 }
 
+test('request forwarder: a request that is passed on is sent no further once the retry budget is used up', async () => {
+	const cluster = await createCluster();
+	const sender = new FakeSender([REJECTED, ANSWERED], 1);
+	const result = await createForwarder(cluster, cluster.getRunningHosts()[0]!).forward(REQUEST, sender, true);
+	assert.equal(sender.peers.length, 1);
+	assert.equal(result?.end, ExchangeEnd.Answered);
+	assert.equal(result.mayHaveRun, false);
+});
+
 test('request forwarder: what finds no worker here is passed on, but not for a while after the others rejected one of the service', async () => {
 	const cluster = await createCluster();
 	const forwarder = createForwarder(cluster, cluster.getRunningHosts()[0]!);
