fix(entry): a popular request is not refused for ten minutes after workers end together

Cause: crashes were counted as if they were independent, and nothing could clear a quarantined request, as no copy was sent and those in progress were cancelled.

Change: a request under which three workers crashed is sent in trials, one copy at a time over all hosts, three until a response, which ends it everywhere (steering: CrashTrials; entry: TrialReports, a report of its own that earlier builds ignore). A request that was served shortly before, that was cleared before, or that shares its crashes with another one stays a suspect: copies elsewhere go on, and the first trial follows at once. The evidence doesn't change the number of trials, so a request that does crash its workers reaches three more at most. A quarantined request explains crashes of others only while it still crashes workers.

The breakage `ignores-quarantine` of the soak removes the trials now, as the verdict alone no longer keeps a request from workers.

--- a/packages/entry/src/host/host-reports.ts
+++ b/packages/entry/src/host/host-reports.ts
@@ -1,4 +1,4 @@
-import type {Clock} from '@apricotwood/clock';
+import type {Clock, Random} from '@apricotwood/clock';
 import type {CrashTracker, DrainTracker, RateLimitTracker} from '@apricotwood/steering';
 import type {Log, Metrics} from '@apricotwood/telemetry';
 import {CrashReports} from '../peer/crash-reports.js';
@@ -6,12 +6,14 @@
 import type {IsolationReports} from '../peer/isolation-reports.js';
 import {RateLimitReports} from '../peer/rate-limit-reports.js';
 import {PeerReports} from '../peer/reports.js';
+import {TrialReports} from '../peer/trial-reports.js';
 import {CrashGuard} from '../request/crash-guard.js';
 import type {ReplicatedState} from '../state/replicated-state.js';
 
 /** Dependencies of `createHostReports`. */
 export type HostReportsDeps = {
 	readonly clock: Clock;
+	readonly random: Random;
 	readonly log: Log;
 	readonly metrics: Metrics;
 	readonly state: ReplicatedState;
@@ -19,6 +21,10 @@
 	readonly drains: DrainTracker;
 	readonly rateLimits: RateLimitTracker;
 	readonly isolation: IsolationReports;
+	/** Hash of this host's id. */
+	readonly hostHash: number;
+	/** Whether this host reaches workers, so that it may send trials of requests that are held to crash workers. */
+	readonly canSendTrials: () => boolean;
 	/** Called when this host has learned of a crash that the others may not know. */
 	readonly onCrashChange: () => void;
 };
@@ -31,22 +37,20 @@
 };
 
 /** Creates the reports of a host: workers that leave or name a limit, requests that crash workers, and hosts that reach none. */
-export function createHostReports({clock, log, metrics, state, crashes, drains, rateLimits, isolation, onCrashChange}: HostReportsDeps): HostReports {
-	const crashGuard = new CrashGuard({
-		clock, log, crashes, onChange: onCrashChange,
-	});
+export function createHostReports(deps: HostReportsDeps): HostReports {
+	const {clock, log, metrics, state, crashes, drains, rateLimits, isolation} = deps;
+	const crashGuard = new CrashGuard({...deps, onChange: deps.onCrashChange});
 	const drainReports = new DrainReports({
 		clock, log, state, drains,
 	});
-	const crashReports = new CrashReports({
-		clock,
-		crashes,
-		onChange(fingerprints) {
-			crashGuard.refresh(fingerprints);
-		},
-	});
+	const onChange = (fingerprints: readonly string[]) => {
+		crashGuard.refresh(fingerprints);
+	};
+
+	const crashReports = new CrashReports({clock, crashes, onChange});
+	const trialReports = new TrialReports({clock, crashes, onChange});
 	const rateLimitReports = new RateLimitReports({
 		clock, log, state, rateLimits,
 	});
-	return {crashGuard, drainReports, reports: new PeerReports([drainReports, rateLimitReports, crashReports, isolation], metrics)};
+	return {crashGuard, drainReports, reports: new PeerReports([drainReports, rateLimitReports, crashReports, trialReports, isolation], metrics)};
 }
--- a/packages/entry/src/host/worker-service.ts
+++ b/packages/entry/src/host/worker-service.ts
@@ -93,6 +93,8 @@
 			drains: this.access.drains,
 			rateLimits: this.statistics.rateLimits,
 			isolation: this.isolation,
+			hostHash: this.deps.members.hash,
+			canSendTrials: () => !this.access.reachability.isIsolated,
 			onCrashChange: this.deps.sendReports,
 		});
 	}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -37,6 +37,7 @@
 	RequestForwarder, type ForwardableRequest, type RequestForwarderDeps, type PeerSender,
 } from './request/request-forwarder.js';
 export {CrashReports, decodeCrashes, encodeCrashes} from './peer/crash-reports.js';
+export {TrialReports, decodeTrials, encodeTrials} from './peer/trial-reports.js';
 export {HeartbeatService, type HeartbeatServiceDeps} from './peer/heartbeat-service.js';
 export type {CatchUpSource} from './peer/state-follower.js';
 export {UdpChannel, type Address, type DatagramChannel} from './peer/channel.js';
--- a/packages/entry/src/peer/crash-reports.ts
+++ b/packages/entry/src/peer/crash-reports.ts
@@ -15,7 +15,10 @@
 /** Upper bound of the length of a fingerprint, characters. */
 const MAX_FINGERPRINT_LENGTH = 64;
 
-const crashesSchema = z.array(z.tuple([z.string().min(1).max(MAX_FINGERPRINT_LENGTH), z.number().int().min(0), z.array(z.number()), z.number().min(0)]));
+/** Fingerprint of a request in a report. */
+export const fingerprintSchema = z.string().min(1).max(MAX_FINGERPRINT_LENGTH);
+
+const crashesSchema = z.array(z.tuple([fingerprintSchema, z.number().int().min(0), z.array(z.number()), z.number().min(0)]));
 
 /** Encodes what is known of requests that were at crashes, each as fingerprint, generation, worker hashes and age in ms. */
 export function encodeCrashes(reports: readonly CrashReport[]): unknown[] {
--- a/packages/entry/src/peer/report-codec.ts
+++ b/packages/entry/src/peer/report-codec.ts
@@ -7,6 +7,8 @@
 	RateLimits = 'rate-limits',
 	/** Requests that were at workers when they crashed. */
 	Crashes = 'crashes',
+	/** Trials of requests that are held to crash workers. */
+	Trials = 'trials',
 	/** Hosts that reach no worker. */
 	Isolation = 'isolation',
 	/** Workers that have said that they are leaving. */
--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -13,6 +13,7 @@
 import type {Member} from '../peer/members.js';
 import {hasBrokenConnection, recordOutcome} from './attempt-outcome.js';
 import {BodyReadResult, streamBody, type RequestBody} from './body.js';
+import type {GuardedRequest} from './crash-guard.js';
 import type {RequestFingerprint} from './fingerprint.js';
 import type {PeerSender} from './request-forwarder.js';
 import {FORWARDED_HEADER, copyRequestHeaders} from './headers.js';
@@ -48,6 +49,7 @@
 	/** Hash of the requested object; `undefined` when the request has none. */
 	readonly object: number | undefined;
 	readonly metadata: RequestMetadata;
+	readonly guarded: GuardedRequest;
 	readonly fingerprint: RequestFingerprint;
 	/** Arrival of the request, monotonic ms. */
 	readonly startAtMs: number;
@@ -164,11 +166,11 @@
 
 	/** Runs the exchange, at the latest until the deadline of the request. */
 	async #exchangeInTime(worker: Worker, {waitMs}: Placement, connection: Connection, record: AttemptRecord, startAtMs: number): Promise<ExchangeResult> {
-		const {clock, dialect, running, roundTrips, availability, workerFeedback} = this.deps;
+		const {clock, dialect, running, roundTrips, availability, workerFeedback, crashGuard} = this.deps;
 		const {registration: {id}, hash, region} = worker;
-		const {requestId} = this.request.metadata;
+		const {metadata: {requestId}, guarded, deadlineAtMs} = this.request;
 		const exchange = this.#createExchange(connection, dialect.buildWorkerHeaders(id, Math.max(1, Math.floor(this.#remainingMs))), {isPeer: false}, {
-			canSend: () => !availability.findObstacle(worker, SendPurpose.PlacedRequest, clock.monotonic()),
+			canSend: () => !availability.findObstacle(worker, SendPurpose.PlacedRequest, clock.monotonic()) && crashGuard.beginAttempt(guarded, deadlineAtMs),
 			onHead({metadata}) {
 				workerFeedback.recordResponse(worker, metadata, {id: requestId, sentAtMs: startAtMs});
 			},
--- a/packages/entry/src/request/fingerprint.ts
+++ b/packages/entry/src/request/fingerprint.ts
@@ -7,10 +7,19 @@
 
 /** Identifies a request that comes again under a new id, also from another address: by its method, host, target and body. Computed on demand, as it is rarely needed. */
 export class RequestFingerprint {
+	/** Length of the body that it keeps, bytes. */
+	readonly bodyBytes: number;
+	readonly #parts: ReadonlyArray<string | undefined>;
+	#body: Uint8Array | undefined;
 	#value: string | undefined;
 
 	/** @param body the body; of one that is too long to be buffered, only the length in the headers counts. */
-	constructor(private readonly req: IncomingMessage, private readonly body: RequestBody | undefined) {}
+	constructor({method, url, headers}: IncomingMessage, body: RequestBody | undefined) {
+		const isUnbuffered = body?.result === BodyReadResult.Unbuffered;
+		this.#parts = [method, headers.host, url, isUnbuffered ? headers['content-length'] : undefined];
+		this.#body = isUnbuffered ? undefined : body?.bytes;
+		this.bodyBytes = this.#body?.length ?? 0;
+	}
 
 	get value(): string {
 		this.#value ??= this.#compute();
@@ -18,11 +27,10 @@
 	}
 
 	#compute(): string {
-		const {method, url, headers} = this.req;
-		const isUnbuffered = this.body?.result === BodyReadResult.Unbuffered;
-		const hash = createHash('sha256').update(JSON.stringify([method, headers.host, url, isUnbuffered ? headers['content-length'] : undefined]));
-		if (this.body && !isUnbuffered) {
-			hash.update(this.body.bytes);
+		const hash = createHash('sha256').update(JSON.stringify(this.#parts));
+		if (this.#body) {
+			hash.update(this.#body);
+			this.#body = undefined;
 		}
 
 		return hash.digest('base64url').slice(0, FINGERPRINT_LENGTH);
--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -141,12 +141,12 @@
 				this.#stop(createQuarantineRejection(fingerprint));
 			},
 		};
-		const rejection = crashGuard.enter(guarded);
+		const rejection = await crashGuard.enter(guarded);
 		if (rejection) {
 			return rejection;
 		}
 
-		this.#sender = this.#createSender(body, fingerprint);
+		this.#sender = this.#createSender(body, guarded);
 		try {
 			return await this.#tryWorkersOrPeers(body, this.#sender, guarded);
 		} finally {
@@ -215,6 +215,11 @@
 				return this.#rejections.rejectPlacement(placement, failure, sender.mayHaveRun);
 			}
 
+			const rejection = this.deps.crashGuard.checkAttempt(guarded);
+			if (rejection) {
+				return failure ?? rejection;
+			}
+
 			if (sentCount > 0 && !this.deps.retryBudget.tryTake(this.#service, this.deps.countHosts(), this.deps.clock.monotonic())) {
 				return failure;
 			}
@@ -252,9 +257,9 @@
 		return isRepeatable && !this.#hasCallerLeft && this.#remainingMs >= MIN_ATTEMPT_MS && sender.records.length <= this.route.maxAttempts + 2;
 	}
 
-	#createSender(body: RequestBody | undefined, fingerprint: RequestFingerprint): AttemptSender {
+	#createSender(body: RequestBody | undefined, guarded: GuardedRequest): AttemptSender {
 		return new AttemptSender(this.deps, {
-			req: this.req, body, route: this.route, service: this.#service, object: this.#object, metadata: this.metadata, fingerprint, startAtMs: this.#startAtMs, deadlineAtMs: this.#deadlineAtMs,
+			req: this.req, body, route: this.route, service: this.#service, object: this.#object, metadata: this.metadata, guarded, fingerprint: guarded.fingerprint, startAtMs: this.#startAtMs, deadlineAtMs: this.#deadlineAtMs,
 		}, this.#writer);
 	}
 
--- a/packages/soak/src/breakages.ts
+++ b/packages/soak/src/breakages.ts
@@ -65,8 +65,8 @@
 	},
 	'ignores-quarantine': {
 		file: 'packages/steering/src/crash-tracker.ts',
-		from: 'return isQuarantined ? CrashVerdict.Quarantined : CrashVerdict.Suspect;',
-		to: 'return CrashVerdict.Clear;',
+		from: 'return this.countCrashes(request) >= QUARANTINE_CRASHES;',
+		to: 'return false;',
 		promise: 'crash',
 	},
 	'keeps-crashes-alone': {
--- a/packages/steering/src/crash-tracker.ts
+++ b/packages/steering/src/crash-tracker.ts
@@ -1,3 +1,5 @@
+import {CrashTrials, type TrialReport} from './crash-trials.js';
+
 /** What a host knows of a request that was running at workers when they crashed. */
 export type CrashReport = {
 	/** Fingerprint of the request, the same whenever it comes again. */
@@ -15,7 +17,7 @@
 	Clear = 'clear',
 	/** Probably the cause of crashes: one more run decides. */
 	Suspect = 'suspect',
-	/** Must not be sent to any worker. */
+	/** Must not be sent to any worker, but for trials. */
 	Quarantined = 'quarantined',
 }
 
@@ -23,6 +25,8 @@
 	readonly request: string;
 	generation: number;
 	readonly workers: Set<number>;
+	/** Trials since the last response. */
+	trials: CrashTrials;
 	/** Monotonic ms. */
 	lastCrashAtMs: number;
 	/** Number of further reports that include the record. */
@@ -32,8 +36,10 @@
 
 /** Number of crashes from which a request is a suspect. */
 export const SUSPECT_CRASHES = 2;
-/** Number of crashes from which a request is quarantined. */
+/** Number of crashes from which a request is sent to workers in trials only, and quarantined unless there is evidence for it. */
 const QUARANTINE_CRASHES = 3;
+/** Longest time between two reports of the same crash, ms. */
+const SAME_CRASH_MS = 1000;
 /** Duration of the quarantine, ms; doubles with each further crash. Afterwards the request is a suspect again. */
 const QUARANTINE_MS = 10 * 60 * 1000;
 /** Time since the last crash after which a request is forgotten, as a multiple of its quarantine. */
@@ -59,6 +65,12 @@
  * response clears a request. A crash does not count against a request if a
  * quarantined one, which has caused more crashes, was at that worker too.
  *
+ * Workers may also end together of another cause, under whatever is popular. That
+ * speaks for a request: it got responses shortly before, it got one after earlier
+ * crashes, or another request was at the same crashes. It then stays a suspect, so
+ * that copies in progress may go on and clear it. In either case it is sent on in
+ * trials only (`CrashTrials`), whose number does not depend on the evidence.
+ *
  * Hosts merge what they know: the workers of one generation are united, and the
  * higher generation wins, so reports can be repeated, lost or out of order. Times
  * are monotonic ms.
@@ -93,6 +105,7 @@
 
 		record.generation++;
 		record.workers.clear();
+		record.trials = new CrashTrials(true);
 		record.lastCrashAtMs = nowMs;
 		record.remainingReports = REPORTS_PER_CHANGE;
 		return true;
@@ -112,6 +125,7 @@
 		if (isLater) {
 			record.generation = generation;
 			record.workers.clear();
+			record.trials = new CrashTrials(true);
 		}
 
 		const sizeBefore = record.workers.size;
@@ -138,7 +152,7 @@
 			return CrashVerdict.Clear;
 		}
 
-		const isQuarantined = crashes >= QUARANTINE_CRASHES && nowMs - record.lastCrashAtMs < computeQuarantineMs(crashes);
+		const isQuarantined = crashes >= QUARANTINE_CRASHES && nowMs - record.lastCrashAtMs < computeQuarantineMs(crashes) && !this.#isDoubtful(record);
 		return isQuarantined ? CrashVerdict.Quarantined : CrashVerdict.Suspect;
 	}
 
@@ -148,6 +162,58 @@
 		return record ? this.#countUnexplained(record) : 0;
 	}
 
+	/** Records that workers have responded to the request shortly before they crashed. @returns whether this changes what is known. */
+	recordServedBefore(request: string): boolean {
+		const record = this.#records.get(request);
+		return record ? record.workers.size > 0 && record.trials.recordDoubt() : false;
+	}
+
+	/** Whether a request may be sent to workers in trials only. */
+	needsTrial(request: string): boolean {
+		return this.countCrashes(request) >= QUARANTINE_CRASHES;
+	}
+
+	/** Takes the turn to send the next trial of a request, unless it is another host's or too early. @param host hash of this host. @returns the time from which the turn holds, monotonic ms. */
+	takeTurn(request: string, host: number, nowMs: number): number | undefined {
+		const record = this.#records.get(request);
+		return record?.trials.takeTurn(host, record.lastCrashAtMs, nowMs);
+	}
+
+	/** Whether this host may send a trial of a request now. @param host hash of this host. */
+	hasTurn(request: string, host: number, nowMs: number): boolean {
+		const record = this.#records.get(request);
+		return record ? record.trials.hasTurn(host, record.lastCrashAtMs, nowMs) : false;
+	}
+
+	/** Records that this host sends a trial of a request. @param run id that no other trial has. @param deadlineAtMs deadline of the run, monotonic ms. */
+	beginTrial(request: string, run: number, deadlineAtMs: number, nowMs: number): void {
+		this.#records.get(request)?.trials.begin(run, deadlineAtMs, nowMs);
+	}
+
+	/** Number of trials since the last response. */
+	countTrials(request: string): number {
+		return this.#records.get(request)?.trials.count ?? 0;
+	}
+
+	/** Records what a peer reports of trials; those of crashes that this host does not know of are reported again. @returns whether this changes what is known. */
+	recordPeerTrials(report: TrialReport, nowMs: number): boolean {
+		const record = this.#records.get(report.request);
+		return record?.generation === report.generation ? record.trials.recordPeerReport(report, nowMs) : false;
+	}
+
+	/** Takes what peers are to be told of trials now. */
+	takeTrialReports(nowMs: number): TrialReport[] {
+		const reports: TrialReport[] = [];
+		for (const {request, generation, workers, trials} of this.#records.values()) {
+			const report = workers.size >= SUSPECT_CRASHES && reports.length < MAX_REPORTED ? trials.takeReport(nowMs) : undefined;
+			if (report) {
+				reports.push({request, generation, ...report});
+			}
+		}
+
+		return reports;
+	}
+
 	/** Fingerprints of the requests that are quarantined. */
 	listQuarantined(nowMs: number): string[] {
 		return [...this.#records.keys()].filter(request => this.classify(request, nowMs) === CrashVerdict.Quarantined);
@@ -175,13 +241,14 @@
 		});
 	}
 
-	/** Crashes of a request without those at which a quarantined request with more crashes was running too. */
+	/** Crashes of a request without those at which a quarantined request with more crashes was running too. One that had stopped crashing workers explains nothing. */
 	#countUnexplained(record: CrashRecord): number {
 		if (record.workers.size < SUSPECT_CRASHES) {
 			return record.workers.size;
 		}
 
-		const causes = [...this.#records.values()].filter(({workers}) => workers.size >= QUARANTINE_CRASHES && workers.size > record.workers.size);
+		const causes = [...this.#records.values()].filter(({workers, lastCrashAtMs}) =>
+			workers.size >= QUARANTINE_CRASHES && workers.size > record.workers.size && lastCrashAtMs + SAME_CRASH_MS >= record.lastCrashAtMs);
 		let count = 0;
 		for (const worker of record.workers) {
 			count += causes.some(({workers}) => workers.has(worker)) ? 0 : 1;
@@ -190,12 +257,18 @@
 		return count;
 	}
 
+	/** Whether there is evidence for a request: of its own, or that another one was at the same crashes. */
+	#isDoubtful(record: CrashRecord): boolean {
+		const {workers, trials} = record;
+		return trials.isDoubtful || (trials.count === 0 && [...this.#records.values()].some(other => other !== record && hasSameMembers(other.workers, workers)));
+	}
+
 	#getOrCreate(request: string, lastCrashAtMs: number): CrashRecord {
 		let record = this.#records.get(request);
 		if (!record) {
 			this.#makeRoom();
 			record = {
-				request, generation: 0, workers: new Set(), lastCrashAtMs, remainingReports: 0, reportedAtMs: Number.NEGATIVE_INFINITY,
+				request, generation: 0, workers: new Set(), trials: new CrashTrials(false), lastCrashAtMs, remainingReports: 0, reportedAtMs: Number.NEGATIVE_INFINITY,
 			};
 			this.#records.set(request, record);
 		}
@@ -229,6 +302,10 @@
 	}
 }
 
+function hasSameMembers(a: ReadonlySet<number>, b: ReadonlySet<number>): boolean {
+	return a.size === b.size && [...a].every(member => b.has(member));
+}
+
 function computeQuarantineMs(crashes: number): number {
 	return QUARANTINE_MS * (2 ** Math.max(0, crashes - QUARANTINE_CRASHES));
 }
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -9,6 +9,7 @@
 export {
 	CrashTracker, CrashVerdict, SUSPECT_CRASHES, type CrashReport,
 } from './crash-tracker.js';
+export type {TrialReport} from './crash-trials.js';
 export {TrafficSplitter} from './traffic-splitter.js';
 export {
 	Fleet, WorkerState, type Worker, type WorkerRegistration,
