fix(entry): hosts that start learn what is quarantined at once

What callers saw: nothing; workers did.

Cause: crashes are reported on change and then every two seconds, and a new host is no change.

Change: a host that hears of one that has started makes suspects and trials due again and sends them at once. In calm there is nothing to send.

A host that serves before it has heard any other one is not covered.

--- a/packages/entry/src/peer/crash-reports.ts
+++ b/packages/entry/src/peer/crash-reports.ts
@@ -45,6 +45,10 @@
 		return encodeCrashes(this.deps.crashes.takeReports(nowMs));
 	}
 
+	repeat(): void {
+		this.deps.crashes.repeatReports();
+	}
+
 	receive(entries: unknown): boolean {
 		const {crashes, clock, onChange} = this.deps;
 		const reports = decodeCrashes(entries);
--- a/packages/entry/src/peer/heartbeat-receiver.ts
+++ b/packages/entry/src/peer/heartbeat-receiver.ts
@@ -49,10 +49,7 @@
 			return;
 		}
 
-		for (const entry of heartbeat.hostEntries) {
-			this.#handleHostEntry(entry, from);
-		}
-
+		const started = heartbeat.hostEntries.filter(entry => this.#handleHostEntry(entry, from));
 		const member = this.deps.members.find(heartbeat.senderHash);
 		if (!member) {
 			return;
@@ -60,16 +57,22 @@
 
 		const isDirect = isAddressOf(member.entry, from);
 		this.#handleHeartbeat(member, heartbeat, isDirect);
+		if (started.length > 0) {
+			this.deps.reports.repeat();
+			this.deps.sender.sendReports();
+		}
+
 		if (isDirect) {
 			this.deps.stateFollower.compare(member, heartbeat, signal);
 			this.#forward(member, bytes);
 		}
 	}
 
-	#handleHostEntry(entry: HostEntry, from: Address): void {
+	/** @returns whether the host has started, or is not known yet. */
+	#handleHostEntry(entry: HostEntry, from: Address): boolean {
 		const {members, log, clock, sender, relaySelector, hostEntries} = this.deps;
 		if (!members.put(entry)) {
-			return;
+			return false;
 		}
 
 		log.info({event: 'host', host: entry.id, zone: entry.zone, startedMs: entry.startedMs});
@@ -80,6 +83,8 @@
 		if (relaySelector.isRelay(clock.monotonic())) {
 			hostEntries.add(entry);
 		}
+
+		return true;
 	}
 
 	#handleHeartbeat(member: Member, heartbeat: Heartbeat, isDirect: boolean): void {
--- a/packages/entry/src/peer/reports.ts
+++ b/packages/entry/src/peer/reports.ts
@@ -7,6 +7,8 @@
 	readonly kind: ReportKind;
 	/** Takes the entries to report now, a bounded number; none if there is nothing to tell. */
 	takeEntries(nowMs: number): unknown[];
+	/** Makes all that a host which has just started must know due again, a bounded number. */
+	repeat?(): void;
 	/** Records the entries of a peer. @returns `false` if they are invalid. */
 	receive(entries: unknown): boolean;
 }
@@ -28,6 +30,13 @@
 		return messages;
 	}
 
+	/** Makes what a host must know that has just started due again. */
+	repeat(): void {
+		for (const topic of this.topics) {
+			topic.repeat?.();
+		}
+	}
+
 	/** Records the report of a peer; an invalid one is counted. */
 	receive(bytes: Buffer): void {
 		const report = decodeReport(bytes);
--- a/packages/entry/src/peer/trial-reports.ts
+++ b/packages/entry/src/peer/trial-reports.ts
@@ -45,6 +45,10 @@
 		return encodeTrials(this.deps.crashes.takeTrialReports(nowMs));
 	}
 
+	repeat(): void {
+		this.deps.crashes.repeatTrialReports();
+	}
+
 	receive(entries: unknown): boolean {
 		const {crashes, clock, onChange} = this.deps;
 		const reports = decodeTrials(entries);
--- a/packages/steering/src/crash-tracker.ts
+++ b/packages/steering/src/crash-tracker.ts
@@ -219,6 +219,20 @@
 		return [...this.#records.keys()].filter(request => this.classify(request, nowMs) === CrashVerdict.Quarantined);
 	}
 
+	/** Makes all suspects due to be reported, for a host that has just started. */
+	repeatReports(): void {
+		for (const record of this.#records.values()) {
+			record.remainingReports = record.workers.size >= SUSPECT_CRASHES ? REPORTS_PER_CHANGE : record.remainingReports;
+		}
+	}
+
+	/** Makes the trials of all requests due to be reported, for a host that has just started. */
+	repeatTrialReports(): void {
+		for (const {trials} of this.#records.values()) {
+			trials.repeatReport();
+		}
+	}
+
 	/** Takes what peers are to be told now: recent changes, and from time to time all suspects. */
 	takeReports(nowMs: number): CrashReport[] {
 		this.#prune(nowMs);
--- a/packages/steering/src/crash-trials.ts
+++ b/packages/steering/src/crash-trials.ts
@@ -183,6 +183,13 @@
 		return true;
 	}
 
+	/** Makes what is known due to be reported, if there is anything. */
+	repeatReport(): void {
+		if (this.#runs.size > 0 || this.#isDoubtful) {
+			this.#change();
+		}
+	}
+
 	#change(): void {
 		this.#remainingReports = REPORTS_PER_CHANGE;
 	}
--- a/test/entry/trial-reports.test.ts
+++ b/test/entry/trial-reports.test.ts
@@ -35,15 +35,20 @@
 	}])), undefined);
 });
 
-/** Lets all hosts send trials, each of which ends its worker, whenever they may. @returns the times of the trials after the start, ms. */
+/** Lets all hosts send the request, which ends each worker, whenever they may. @returns the times of the runs after the start, ms. */
 async function sendTrials(cluster: ClusterSimulation, durationMs: number, onStep: (elapsedMs: number) => void): Promise<number[]> {
 	const startMs = cluster.clock.monotonic();
 	const sentMs: number[] = [];
 	for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) {
 		onStep(elapsedMs);
-		for (const {crashes, members, heartbeats} of cluster.getRunningHosts()) {
+		for (const {crashes, members, heartbeats, state} of cluster.getRunningHosts()) {
 			const nowMs = cluster.clock.monotonic();
 			if (!crashes.needsTrial(REQUEST)) {
+				// A host that has not heard of the request sends it as any other.
+				if (state.isLoaded && elapsedMs > CONTACT_MS) {
+					sentMs.push(nowMs - startMs);
+				}
+
 				continue;
 			}
 
@@ -95,3 +100,23 @@
 		}
 	}
 }
+
+test('trial reports: hosts that are restarted or join learn what is quarantined before they serve, and how often it was tried', async () => {
+	const cluster = new ClusterSimulation(new SeededRandom(7), 10, 6);
+	await cluster.clock.advanceAsync(SETTLE_MS);
+	const [first] = cluster.getRunningHosts();
+	for (const worker of [1, 2, 3]) {
+		first!.crashes.recordCrash(REQUEST, worker, cluster.clock.monotonic());
+	}
+
+	first!.heartbeats.sendReports();
+	const sentMs = await sendTrials(cluster, 25_000, elapsedMs => {
+		const index = elapsedMs / 1000;
+		if (Number.isInteger(index) && index >= 4 && index < 16) {
+			cluster.hosts.get(`h${index % 12}`)?.kill();
+			cluster.start(`h${index % 12}`, `z${index % 6}`);
+		}
+	});
+	const late = sentMs.filter(atMs => atMs > CONTACT_MS);
+	assert.ok(late.length > 0 && late.length <= MAX_TRIALS, `runs ${late.join(', ')} ms after the third crash`);
+});
