feat(fuzz): a checker with generated workers and rows, judged by nine rules

So stand-ins are generated instead of listed.

Change: packages/fuzz. Workers answer by the byte (informational heads, odd, folded, repeated and long headers, three framings, trailers, cuts in each section by close, reset or silence, extra answers, answers before the body); rows of hosts, workers and configuration are mutated, then sound again. Hosts run in this process over loopback, new ones for each script. The oracle reads callers' bytes with a parser of its own, and what workers and the log saw.

--- /dev/null
+++ b/test/fuzz/mutants-worker.test.ts
@@ -0,0 +1,4 @@
+import {PartName} from '@apricotwood/fuzz';
+import {testMutants} from '../fixtures/mutant-tests.js';
+
+testMutants(PartName.Worker);
