--- a/test/adapter/odd-rows.test.ts
+++ b/test/adapter/odd-rows.test.ts
@@ -118,3 +118,14 @@
 		}
 	}), {numRuns: 2000});
 });
+
+// SERVES (found by the fuzz checker, rows part, seed 30222): after such a version no later one was newer, and hosts never served the next configuration.
+for (const digits of ['9'.repeat(400), '9007199254740993']) {
+	test(`config: a version of ${digits.length} digits, which no number holds, is refused`, () => {
+		assert.throws(() => decodeConfig({...createOperatorConfig(12, ['board']), version: `r${digits}`}), FindingsError);
+	});
+}
+
+test('config: the largest exact version is read', () => {
+	assert.equal(decodeConfig({...createOperatorConfig(12, ['board']), version: `r${Number.MAX_SAFE_INTEGER}`}).version, Number.MAX_SAFE_INTEGER);
+});
