refactor(daemon): what an attempt is and how a response is passed on are apart from which attempts are made

`AttemptFactory` now creates attempts and `ResponseRelay` passes one response on, with backpressure and what is stored of it; `Delivery` (354 lines) decides which attempts are made and with what outcome the request ends. No change of behaviour.

--- a/packages/daemon/src/request/delivery.ts
+++ b/packages/daemon/src/request/delivery.ts
@@ -1,24 +1,22 @@
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type {LongBody} from '@apricotwood/admission';
 import {RepeatPolicy} from '@apricotwood/agreement';
 import type {Clock, Timer} from '@apricotwood/clock';
 import type {ResourceClaim} from '@apricotwood/ledger';
 import {Outcome, type StoredResponse} from '@apricotwood/once';
-import {
-	Attempt, type ResponseHead, type AttemptFailure, type AttemptListener,
+import type {
+	Attempt, AttemptFailure, AttemptListener, ResponseHead,
 } from '../upstream/attempt.js';
-import type {WorkerLink} from '../upstream/worker-link.js';
 import type {Admission, Placement} from './admission.js';
 import type {AttemptPolicy} from './attempt-policy.js';
-import {createResponseHeaders, cutResponse} from './response.js';
 import {RunningAttempts, type RunningAttempt} from './running-attempts.js';
-import {ResponseRecorder} from './response-recorder.js';
+import {ResponseRelay} from './response-relay.js';
 import {Cancellation} from './cancellation.js';
 import {
 	RejectionCode, rejectUnknown, rejectNotRun, type Rejection,
 } from './rejection.js';
 import type {RequestContext} from './context.js';
-import {createAttemptHeaders} from './attempt-headers.js';
+import {AttemptFactory} from './attempt-factory.js';
 import {HeaderName} from './headers.js';
 import {applyWorkerHeaders} from './worker-headers.js';
 
@@ -56,22 +54,17 @@
 /** Number of attempts, hedges included, after which a request is not retried. */
 const MAX_ATTEMPTS = 3;
 
-let attemptSequence = 0;
-
-/** Sends one request to a worker and relays the response, with retries and hedges. */
+/** Decides on the attempts of one request, the first, retries and hedges, until one has answered or none is left. */
 export class Delivery implements AttemptListener {
 	readonly #running: RunningAttempts;
 	readonly #excludedWorkers = new Set<string>();
-	readonly #recorder: ResponseRecorder;
-	#requestHeaders: string[] | undefined;
-	#responseHeaders: string[] = [];
-	#responseStatus = 0;
-	#winner: Attempt | undefined;
-	#winnerLink: WorkerLink | undefined;
+	readonly #attemptFactory: AttemptFactory;
+	readonly #relay: ResponseRelay;
+	/** Name of the worker whose response is passed on. */
+	#worker: string | undefined;
 	#attempts = 0;
 	#hedges = 0;
 	#mayHaveRun = false;
-	#isBodyConsumed = false;
 	#isFinished = false;
 	readonly #cancellation = new Cancellation();
 	/** Hedge timer, then deadline timer. */
@@ -84,11 +77,12 @@
 		private readonly ctx: RequestContext,
 		private readonly attemptPolicy: AttemptPolicy,
 		private readonly claims: readonly ResourceClaim[],
-		private readonly body: Buffer | LongBody | undefined,
+		body: Buffer | LongBody | undefined,
 		private readonly storesResponse: boolean,
 	) {
 		this.#running = new RunningAttempts(deps);
-		this.#recorder = new ResponseRecorder(storesResponse ? deps.maxStoredBytes : 0);
+		this.#attemptFactory = new AttemptFactory(deps, ctx, body);
+		this.#relay = new ResponseRelay(ctx.res, {hostId: deps.hostId, maxStoredBytes: storesResponse ? deps.maxStoredBytes : 0});
 	}
 
 	/** Runs the request, starting at `placement`, until its final result. */
@@ -108,9 +102,9 @@
 			return;
 		}
 
-		if (this.storesResponse && !this.#isBodyStreamed) {
-			// The run continues so that a repeat can be answered; the caller no longer applies backpressure.
-			this.#winner?.resume();
+		if (this.storesResponse && !this.#attemptFactory.isBodyStreamed) {
+			// The run continues so that a repeat can be answered.
+			this.#relay.continueWithoutCaller();
 			return;
 		}
 
@@ -145,20 +139,7 @@
 	}
 
 	onData(attempt: Attempt, chunk: Buffer): boolean {
-		if (attempt !== this.#winner) {
-			return true;
-		}
-
-		this.#recorder.record(chunk);
-		const {res} = this.ctx;
-		if (res.destroyed || res.write(chunk)) {
-			return true;
-		}
-
-		res.once('drain', () => {
-			attempt.resume();
-		});
-		return false;
+		return this.#relay.write(attempt, chunk);
 	}
 
 	onEnd(attempt: Attempt): void {
@@ -171,7 +152,7 @@
 		running.placement.link.recordResponse(latencyMs);
 		this.attemptPolicy.latency.record(latencyMs);
 		this.#running.release(running);
-		this.ctx.res.end();
+		this.#relay.end();
 		this.#finish(Outcome.Answered, undefined);
 	}
 
@@ -179,57 +160,26 @@
 		this.#handleFailure(attempt, failure);
 	}
 
-	get #isBodyStreamed(): boolean {
-		return this.body !== undefined && !Buffer.isBuffer(this.body);
-	}
-
 	#acceptResponse(attempt: Attempt, {placement}: RunningAttempt, head: ResponseHead): void {
-		this.#winner = attempt;
-		this.#winnerLink = placement.link;
 		for (const other of this.#running.list()) {
 			if (other !== attempt) {
 				this.#running.cancel(other);
 			}
 		}
 
-		this.#responseStatus = head.status;
-		this.#responseHeaders = createResponseHeaders(head.headers, placement.link.worker.name, this.deps.hostId);
-		const {res} = this.ctx;
-		if (!res.destroyed) {
-			res.writeHead(head.status, this.#responseHeaders);
-		}
+		this.#worker = placement.link.worker.name;
+		this.#relay.begin(attempt, this.#worker, head);
 	}
 
 	#startAttempt(placement: Placement): void {
-		const {ctx} = this;
-		const attempt = new Attempt(placement.link.worker.name, {
-			method: ctx.req.method ?? 'GET',
-			path: ctx.path,
-			headers: this.#createAttemptHeaders(),
-			body: this.body,
-			attemptId: this.#currentAttemptId,
-			isPeer: false,
-		}, this);
+		const attempt = this.#attemptFactory.create(placement.link.worker.name, this);
 		this.#running.add(attempt, placement);
-		ctx.attempts.push(attempt);
+		this.ctx.attempts.push(attempt);
 		this.#attempts++;
-		this.#isBodyConsumed ||= this.#isBodyStreamed;
 		placement.link.begin();
 		attempt.start(placement.link.pool);
 	}
 
-	get #currentAttemptId(): string {
-		return `${this.deps.hostId}-${attemptSequence}`;
-	}
-
-	#createAttemptHeaders(): string[] {
-		const {ctx} = this;
-		this.#requestHeaders ??= createAttemptHeaders(ctx, this.#isBodyStreamed);
-		attemptSequence++;
-		const remainingMs = Math.max(1, Math.round(ctx.deadlineAtMs - this.deps.clock.monotonic()));
-		return [...this.#requestHeaders, HeaderName.DeadlineMs, String(remainingMs), HeaderName.Attempt, this.#currentAttemptId];
-	}
-
 	#handleFailure(attempt: Attempt, failure: AttemptFailure): void {
 		const running = this.#running.take(attempt);
 		if (!running) {
@@ -259,13 +209,13 @@
 	}
 
 	#abortResponse(failure: AttemptFailure): void {
-		cutResponse(this.ctx.res);
+		this.#relay.cut();
 		this.#finish(Outcome.Unknown, rejectUnknown(failure.code, 502, failure.message));
 	}
 
 	#tryRetry(failure: AttemptFailure): boolean {
 		const isAllowed = !failure.mayHaveRun || (this.ctx.repeat === RepeatPolicy.Idempotent && failure.code !== RejectionCode.UpstreamUnframed);
-		const isPossible = this.#attempts < MAX_ATTEMPTS && (!this.#isBodyConsumed || this.#isBodyUnread) && this.#remainingMs > 0;
+		const isPossible = this.#attempts < MAX_ATTEMPTS && this.#attemptFactory.canSendBody && this.#remainingMs > 0;
 		if (!isAllowed || !isPossible || !this.attemptPolicy.retryBudget.tryConsume()) {
 			return false;
 		}
@@ -303,11 +253,6 @@
 		}
 	}
 
-	/** Whether a streamed body is still unread, so that another attempt can send it. */
-	get #isBodyUnread(): boolean {
-		return this.body !== undefined && !Buffer.isBuffer(this.body) && this.body.isUntaken;
-	}
-
 	get #remainingMs(): number {
 		return this.ctx.deadlineAtMs - this.deps.clock.monotonic();
 	}
@@ -319,7 +264,7 @@
 		}
 
 		const remainingMs = Math.max(0, this.#remainingMs);
-		const hedgeDelayMs = this.ctx.repeat === RepeatPolicy.Idempotent && !this.#isBodyStreamed ? this.attemptPolicy.hedgeDelayMs : undefined;
+		const hedgeDelayMs = this.ctx.repeat === RepeatPolicy.Idempotent && !this.#attemptFactory.isBodyStreamed ? this.attemptPolicy.hedgeDelayMs : undefined;
 		if (hedgeDelayMs === undefined || hedgeDelayMs >= remainingMs) {
 			this.#startDeadlineTimer();
 			return;
@@ -338,7 +283,7 @@
 	}
 
 	#tryHedge(delayMs: number): void {
-		const isNeeded = !this.#isFinished && this.#winner === undefined && this.#running.size === 1;
+		const isNeeded = !this.#isFinished && this.#relay.attempt === undefined && this.#running.size === 1;
 		if (!isNeeded || !this.deps.admission.hasHeadroom(this.ctx.service.name) || !this.attemptPolicy.hedgeBudget.tryConsume()) {
 			return;
 		}
@@ -361,9 +306,9 @@
 			this.#running.cancel(attempt);
 		}
 
-		const hasResponseStarted = this.ctx.res.headersSent;
+		const hasResponseStarted = this.#relay.hasStarted;
 		if (hasResponseStarted) {
-			cutResponse(this.ctx.res);
+			this.#relay.cut();
 		}
 
 		const status = code === RejectionCode.UpstreamLate ? 504 : 408;
@@ -395,8 +340,8 @@
 		this.#resolve({
 			outcome,
 			rejection,
-			storedResponse: outcome === Outcome.Answered && this.storesResponse ? this.#recorder.createResponse(this.#responseStatus, this.#responseHeaders) : undefined,
-			worker: this.#winnerLink?.worker.name,
+			storedResponse: outcome === Outcome.Answered && this.storesResponse ? this.#relay.createStoredResponse() : undefined,
+			worker: this.#worker,
 			attempts: this.#attempts,
 			hedges: this.#hedges,
 		});
