--- a/packages/entry/src/host/shutdown.ts
+++ b/packages/entry/src/host/shutdown.ts
@@ -5,8 +5,6 @@
 import type {ShutdownReport} from '../request/shutdown-report.js';
 import {HostEvent, type HostLifecycle} from './phase.js';
 
-/** Part of the grace period in which a host stays open to callers at most, as a ratio; the rest remains for requests in flight. */
-const MAX_OPEN_RATIO = 0.75;
 /** Time reserved for closing down at the end of the grace period, ms, and as a ratio of it at most. */
 const CLOSING_MS = 200;
 const MAX_CLOSING_RATIO = 1 / 8;
@@ -38,7 +36,7 @@
 
 /** Times of a shutdown after the stop signal, ms. */
 export type ShutdownSchedule = {
-	/** No more connections are accepted: no caller has a look-up that names this host any more. */
+	/** No more connections are accepted: no caller has a look-up that names this host any more, or the host is about to end. */
 	readonly closeAfterMs: number;
 	/** The host ends, also if requests are in flight. */
 	readonly endAfterMs: number;
@@ -46,10 +44,10 @@
 
 /** Computes when a host that is to stop closes and ends. */
 export function computeShutdownSchedule({graceMs, lookupLifetimeMs}: ShutdownPeriods): ShutdownSchedule {
-	return {
-		closeAfterMs: Math.min(lookupLifetimeMs, graceMs * MAX_OPEN_RATIO),
-		endAfterMs: graceMs - Math.min(CLOSING_MS, graceMs * MAX_CLOSING_RATIO),
-	};
+	const closingMs = Math.min(CLOSING_MS, graceMs * MAX_CLOSING_RATIO);
+	const endAfterMs = graceMs - closingMs;
+	// What comes late is rejected at once if it cannot end in time, so only the rejections themselves need time after the close.
+	return {closeAfterMs: Math.min(lookupLifetimeMs, endAfterMs - closingMs), endAfterMs};
 }
 
 /** After the signal: announces the shutdown, serves what can be answered in time, then drains until no request is in flight or the grace period ends. */
