--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -169,7 +169,8 @@
 
 		const rejection = await this.#tryWorkers(body, sender, guarded);
 		const isOver = !rejection || sender.mayHaveRun || this.#hasCallerLeft || this.#stopReason !== undefined || this.#remainingMs < MIN_ATTEMPT_MS;
-		if (isOver || !forwarder.canHelp(rejection, this.#service)) {
+		const isBodyTaken = body?.rest?.isUntaken === false;
+		if (isOver || isBodyTaken || !forwarder.canHelp(rejection, this.#service)) {
 			return rejection;
 		}
 
