--- a/packages/fuzz/src/rows/row-text.ts
+++ b/packages/fuzz/src/rows/row-text.ts
@@ -6,11 +6,15 @@
 	readonly path: readonly number[];
 	readonly kind: MutationKind;
 	readonly value: unknown;
+	/** Which value out of range is put. */
+	readonly twist: number;
 };
 
 /** What is done at that place. */
 export enum MutationKind {
 	Replace = 'replace',
+	/** Puts a value of the same kind out of its range. */
+	Twist = 'twist',
 	Remove = 'remove',
 	/** Adds a field that nobody knows. */
 	Add = 'add',
@@ -104,6 +108,36 @@
 	'x'.repeat(60_000),
 ];
 
+const ODD_NUMBERS: readonly unknown[] = [-1, 1.5, 0, 65_536, 99_999, 1e15, 1e300, Number.MAX_SAFE_INTEGER, 2 ** 53, Mark.Huge];
+const ODD_DURATIONS: readonly string[] = [`${'9'.repeat(400)}s`, '1e9s', '-1ms', '0ms', '1000000000s', '1.5', '0.0000001ms', 's', '1 s'];
+const ODD_VERSIONS: readonly string[] = [`r${'9'.repeat(400)}`, 'r-1', 'r1.5', 'r0', 'r', '7', 'R7', 'r1e3'];
+
+/** A value that is like another one, and out of its range. */
+function twist(value: unknown, index: number): unknown {
+	const choices = selectTwists(value);
+	return choices[index % choices.length];
+}
+
+function selectTwists(value: unknown): readonly unknown[] {
+	if (typeof value === 'number') {
+		return ODD_NUMBERS;
+	}
+
+	if (typeof value !== 'string') {
+		return ODD_VALUES;
+	}
+
+	const [, choices = ODD_TEXTS] = TWISTS.find(([form]) => form.test(value)) ?? [];
+	return choices;
+}
+
+/** Values out of range by the form of sound ones. */
+const TWISTS: ReadonlyArray<readonly [RegExp, readonly string[]]> = [
+	[/^r\d+$/, ODD_VERSIONS],
+	[/^\d+m?s$/, ODD_DURATIONS],
+	[/^[\d.]+:\d+$/, ODD_ADDRESSES],
+];
+
 /** Values that a writer may leave in a field. */
 const oddValue: fc.Arbitrary<unknown> = fc.oneof(
 	{weight: 3, arbitrary: fc.constantFrom(...ODD_VALUES)},
@@ -117,8 +151,9 @@
 /** Mutations of a value. */
 export const mutationArbitrary: fc.Arbitrary<Mutation> = fc.record({
 	path: fc.array(fc.nat({max: 30}), {maxLength: 5}),
-	kind: fc.oneof({weight: 5, arbitrary: fc.constant(MutationKind.Replace)}, {weight: 4, arbitrary: fc.constantFrom(...Object.values(MutationKind))}),
+	kind: fc.oneof({weight: 5, arbitrary: fc.constantFrom(MutationKind.Replace, MutationKind.Twist)}, {weight: 4, arbitrary: fc.constantFrom(...Object.values(MutationKind))}),
 	value: oddValue,
+	twist: fc.nat({max: 30}),
 });
 
 /** Applies mutations to a valid value. @returns the text of the row. */
@@ -138,7 +173,7 @@
 }
 
 function mutate(value: unknown, mutation: Mutation, level: number): unknown {
-	const {path, kind} = mutation;
+	const {path} = mutation;
 	const entries: readonly Entry[] = typeof value === 'object' && value !== null ? Object.entries(value) : [];
 	if (entries.length === 0) {
 		return mutation.value;
@@ -147,19 +182,23 @@
 	const [key, inner] = entries[(path[level] ?? 0) % entries.length]!;
 	const isLast = level >= path.length - 1;
 	const changed = isLast
-		? mutateEntry(entries, key, inner, kind, mutation.value)
+		? mutateEntry(entries, key, inner, mutation)
 		: entries.map(([name, old]): Entry => [name, name === key ? mutate(inner, mutation, level + 1) : old]);
 	return Array.isArray(value) ? changed.map(([, item]) => item) : toRecord(changed);
 }
 
 type Entry = readonly [string, unknown];
 
-function mutateEntry(entries: readonly Entry[], key: string, inner: unknown, kind: MutationKind, value: unknown): readonly Entry[] {
+function mutateEntry(entries: readonly Entry[], key: string, inner: unknown, {kind, value, twist: index}: Mutation): readonly Entry[] {
 	switch (kind) {
 		case MutationKind.Replace: {
 			return entries.map(([name, old]) => [name, name === key ? value : old]);
 		}
 
+		case MutationKind.Twist: {
+			return entries.map(([name, old]) => [name, name === key ? twist(old, index) : old]);
+		}
+
 		case MutationKind.Remove: {
 			return entries.filter(([name]) => name !== key);
 		}
