test(entry): the check of large uploads waits until the host has ended all of them

On a machine with a load of 28 the host had logged the end of some of the 100 uploads only, 0.5 s after the worker was free; none had reached the worker. The test now waits for all ends before it judges: that each is 'caller-left', and that none has reached the worker in that time, which is longer than before.

--- a/test/entry/large-uploads.test.ts
+++ b/test/entry/large-uploads.test.ts
@@ -144,9 +144,10 @@
 		await delay(DEPARTURE_MS);
 		freeWorker();
 		await delay(DEPARTURE_MS);
+		const listCodes = () => host.logLines.filter(line => String(line.id).startsWith(prefix)).map(line => line.code);
+		await waitUntil('all uploads have ended', () => listCodes().length >= count);
 		assert.deepEqual(listReceived(prefix), []);
-		const codes = host.logLines.filter(line => String(line.id).startsWith(prefix)).map(line => line.code);
-		assert.deepEqual(codes, Array.from({length: count}, () => 'caller-left'));
+		assert.deepEqual(listCodes(), Array.from({length: count}, () => 'caller-left'));
 	});
 }
 
