--- a/packages/fuzz/src/oracle.ts
+++ b/packages/fuzz/src/oracle.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {HeaderName} from '@apricotwood/platform/standin';
 import {StreamEnd} from './caller/response-reader.js';
 import {
 	CallKind, type Arrival, type Call, type Observation,
@@ -39,7 +40,7 @@
 			return [];
 		}
 
-		const signature = response.headers.get('server-signature')?.[0];
+		const signature = response.headers.get(HeaderName.Signature)?.[0];
 		if (signature === undefined) {
 			return response.status < 400 ? [`${call.id}: ${response.status} without a signature`] : [];
 		}
@@ -84,7 +85,7 @@
 function checkDenied({calls}: Observation): string[] {
 	return calls.filter(({isAllowed}) => isAllowed).flatMap(({id, answer: {response}}) => {
 		const {status = 0, headers} = response ?? {};
-		const isDenied = status >= 300 && status < 500 && !PROMISES.has(status) && !headers!.has('server-signature');
+		const isDenied = status >= 300 && status < 500 && !PROMISES.has(status) && !headers!.has(HeaderName.Signature);
 		return isDenied ? [`${id} was denied with ${status}`] : [];
 	});
 }
--- a/packages/fuzz/src/worker/script-arbitrary.ts
+++ b/packages/fuzz/src/worker/script-arbitrary.ts
@@ -1,4 +1,5 @@
 import fc from 'fast-check';
+import {HeaderName} from '@apricotwood/platform/standin';
 import {CallKind} from '../observation.js';
 import {
 	Ending, Extra, ExtraPlace, Framing, Moment, SOUND_ANSWER, Section, type AnswerScript,
@@ -75,7 +76,7 @@
 	'Retry-After: 1e9',
 	'Retry-After: Fri, 31 Dec 1999 23:59:59 GMT',
 	'Request-Id: second',
-	'Server-Signature: second',
+	`${HeaderName.Signature}: second`,
 	'Trailer: X-Sum',
 	'Upgrade: h2c',
 	'Content-Type: text/plain',
@@ -98,7 +99,7 @@
 
 const informational = fc.record({
 	status: fc.constantFrom(102, 103, 100, 101, 199),
-	lines: fc.array(fc.constantFrom('Link: </a>', 'Connection: close', 'Request-Id: other', 'Server-Signature: info', 'Content-Length: 4'), {maxLength: 2}),
+	lines: fc.array(fc.constantFrom('Link: </a>', 'Connection: close', 'Request-Id: other', `${HeaderName.Signature}: info`, 'Content-Length: 4'), {maxLength: 2}),
 });
 
 const ending = fc.constantFrom(Ending.Close, Ending.Reset, Ending.Silence);
@@ -130,7 +131,7 @@
 	bodyBytes: mostly(20, fc.constantFrom(0, 1, 300, 20_000, STREAMED_BODY_BYTES, 2 * STREAMED_BODY_BYTES), 2),
 	chunkBytes: fc.array(fc.constantFrom(1, 2, 7, 400, 17_000), {minLength: 1, maxLength: 3}),
 	chunkExtension: mostly('', fc.constantFrom(';a', ';a=1', ';a="b"', ' ')),
-	trailers: mostly<readonly string[]>([], fc.array(fc.constantFrom('X-Sum: 1', 'Request-Id: other', 'Server-Signature: late', 'Content-Length: 9', 'X-Folded: a\r\n b'), {minLength: 1, maxLength: 2})),
+	trailers: mostly<readonly string[]>([], fc.array(fc.constantFrom('X-Sum: 1', 'Request-Id: other', `${HeaderName.Signature}: late`, 'Content-Length: 9', 'X-Folded: a\r\n b'), {minLength: 1, maxLength: 2})),
 	cut: rarely(fc.record({section: fc.constantFrom(...Object.values(Section)), at: fc.nat({max: 300_000}), ending}), 1),
 	after: rarely(ending, 5),
 	pieces: mostly({count: 1, pauseMs: 0}, fc.record({count: fc.integer({min: 2, max: 6}), pauseMs: fc.constantFrom(0, 1, 10)})),
--- a/packages/fuzz/src/worker/script.ts
+++ b/packages/fuzz/src/worker/script.ts
@@ -1,4 +1,5 @@
 import {Buffer} from 'node:buffer';
+import {HeaderName} from '@apricotwood/platform/standin';
 
 /** What delimits the body of an answer. */
 export enum Framing {
@@ -56,7 +57,7 @@
 
 /** What a worker does with one request. */
 export type AnswerScript = {
-	/** Whether it runs the request; otherwise it says `Not-Executed`. */
+	/** Whether it runs the request; otherwise it says that it has not run it. */
 	readonly runs: boolean;
 	readonly status: number;
 	readonly moment: Moment;
@@ -118,7 +119,7 @@
 
 const BODILESS_STATUSES = new Set([204, 304]);
 const FRAMING_LINE = /^(?:content-length|transfer-encoding):/i;
-const SIGNATURE_LINE = /^server-signature: (.*)$/i;
+const SIGNATURE_LINE = new RegExp(`^${HeaderName.Signature}: (.*)$`, 'i');
 
 /** Renders the answer to a request. @param tag text that no other answer has; begins the body. */
 export function renderAnswer(script: AnswerScript, id: string, signature: string, tag: string): RenderedAnswer {
@@ -161,7 +162,7 @@
 
 /** Renders a complete answer of its own beside the script's. */
 export function renderExtra(kind: Extra.Other | Extra.Nameless | Extra.Garbage): Buffer {
-	const head = 'Server-Signature: sig-extra\r\nContent-Length: 5\r\n\r\nextra';
+	const head = `${HeaderName.Signature}: sig-extra\r\nContent-Length: 5\r\n\r\nextra`;
 	switch (kind) {
 		case Extra.Other: {
 			return Buffer.from(`HTTP/1.1 200 OK\r\nRequest-Id: other\r\n${head}`);
@@ -179,7 +180,7 @@
 
 /** Renders a rejection that says that a request has not run. */
 export function renderRejection(id: string): Buffer {
-	return Buffer.from(`HTTP/1.1 503 Busy\r\nRequest-Id: ${id}\r\nNot-Executed: 1\r\nServer-Signature: sig-rejection\r\nContent-Length: 0\r\n\r\n`);
+	return Buffer.from(`HTTP/1.1 503 Busy\r\nRequest-Id: ${id}\r\n${HeaderName.NotExecuted}: 1\r\n${HeaderName.Signature}: sig-rejection\r\nContent-Length: 0\r\n\r\n`);
 }
 
 function toLines(lines: readonly string[]): string {
@@ -191,8 +192,8 @@
 	const isFramed = framing !== Framing.Close && !BODILESS_STATUSES.has(status);
 	return [
 		...(hasId ? [`Request-Id: ${id}`] : []),
-		...(isSigned ? [`Server-Signature: ${signature}`] : []),
-		...(runs ? [] : ['Not-Executed: 1']),
+		...(isSigned ? [`${HeaderName.Signature}: ${signature}`] : []),
+		...(runs ? [] : [`${HeaderName.NotExecuted}: 1`]),
 		...lines.filter(line => isFramed || !FRAMING_LINE.test(line)),
 	];
 }
--- a/packages/fuzz/src/worker/scripted-worker.ts
+++ b/packages/fuzz/src/worker/scripted-worker.ts
@@ -3,7 +3,7 @@
 import {createServer, type Socket} from 'node:net';
 import {setTimeout as pause} from 'node:timers/promises';
 import {resetSocket} from '@apricotwood/entry';
-import {addressOf, listen} from '@apricotwood/platform/standin';
+import {HeaderName, addressOf, listen} from '@apricotwood/platform/standin';
 import type {Arrival} from '../observation.js';
 import {readRequestBody, readRequestHead, type RequestHead} from './request-reader.js';
 import {
@@ -119,13 +119,13 @@
 	}
 
 	async #answerHealthCheck(): Promise<boolean> {
-		this.socket.write(`HTTP/1.1 200 OK\r\nInstance-Id: ${this.worker}\r\nContent-Length: 0\r\n\r\n`);
+		this.socket.write(`HTTP/1.1 200 OK\r\n${HeaderName.WorkerId}: ${this.worker}\r\nContent-Length: 0\r\n\r\n`);
 		return true;
 	}
 
 	/** @returns whether the connection goes on. */
 	async #handle(head: RequestHead): Promise<boolean> {
-		const isOther = head.headers.get('target-instance') !== this.worker;
+		const isOther = head.headers.get(HeaderName.TargetWorker) !== this.worker;
 		const script = isOther ? OTHER_WORKER_ANSWER : this.plan.takeScript();
 		const id = head.headers.get('request-id') ?? '';
 		const arrival: Arrival = {
--- a/packages/fuzz/src/worker/worker-part.ts
+++ b/packages/fuzz/src/worker/worker-part.ts
@@ -2,7 +2,7 @@
 import type fc from 'fast-check';
 import type {SteeringSource} from '@apricotwood/entry';
 import {decodeConfig, decodeWorker} from '@apricotwood/platform';
-import {createOperatorConfig} from '@apricotwood/platform/standin';
+import {HeaderName, createOperatorConfig} from '@apricotwood/platform/standin';
 import {Caller} from '../caller/caller.js';
 import type {Coverage} from '../coverage.js';
 import {HostRig, createHostParts, waitFor} from '../host-rig.js';
@@ -118,7 +118,7 @@
 function countCalls(coverage: Coverage, {calls}: Caller, arrivals: readonly Arrival[]): void {
 	for (const {id, kind, answer: {response, end}} of calls) {
 		const runs = arrivals.filter(arrival => arrival.id === id && arrival.hasRun);
-		const isSigned = response?.headers.has('server-signature') === true;
+		const isSigned = response?.headers.has(HeaderName.Signature) === true;
 		coverage.count('answers to callers', response ? `${response.status}${isSigned ? ' of a worker' : ''}${response.isWhole ? '' : ', cut'}` : `none, ${end}`);
 		coverage.count('rules', `MIXED ${isSigned && response.isWhole ? 'signed' : 'other'}`);
 		coverage.count('rules', `LOST ${response?.isWhole ? 'answered' : 'not answered'}`);
