--- a/packages/entry/src/host/host-state.ts
+++ b/packages/entry/src/host/host-state.ts
@@ -32,8 +32,8 @@
 	readonly poller: SourcePoller;
 
 	constructor(private readonly deps: HostStateDeps) {
-		const {clock, log, regions, members, workerListener, announce} = deps;
-		this.replica = new ReplicatedState(clock, log, {
+		const {clock, log, metrics, regions, members, workerListener, announce} = deps;
+		this.replica = new ReplicatedState(clock, log, metrics, {
 			onWorkerStart(id) {
 				workerListener.onWorkerStart(id);
 			},
--- a/packages/entry/src/peer/state-follower.ts
+++ b/packages/entry/src/peer/state-follower.ts
@@ -1,5 +1,5 @@
 import type {Clock} from '@apricotwood/clock';
-import type {Log} from '@apricotwood/telemetry';
+import type {Log, Metrics} from '@apricotwood/telemetry';
 import type {HostEntry} from '../source.js';
 import type {CatchUpRequest, CatchUpResponse, ReplicatedState} from '../state/replicated-state.js';
 import type {Heartbeat} from './heartbeat-codec.js';
@@ -10,6 +10,9 @@
 /** If the state becomes fresher by more than this in one step, a relay sends the non-relay hosts of its zone a heartbeat at once, ms. */
 const MIN_FRESHNESS_GAIN_MS = 250;
 
+/** Duration from which a response to a request for changes is logged, ms. */
+const SLOW_RESPONSE_MS = 250;
+
 /** Requests the changes after given revisions from a host. */
 export interface CatchUpSource {
 	/** Rejects if the host does not respond, or the signal is aborted. */
@@ -20,6 +23,7 @@
 export type StateFollowerDeps = {
 	readonly clock: Clock;
 	readonly log: Log;
+	readonly metrics: Metrics;
 	readonly state: ReplicatedState;
 	readonly catchUp: CatchUpSource;
 	readonly relaySelector: RelaySelector;
@@ -45,15 +49,17 @@
 	}
 
 	async #requestCatchUp(member: Member, request: CatchUpRequest, signal: AbortSignal): Promise<void> {
-		const {state, catchUp, log, clock, relaySelector, sender} = this.deps;
+		const {state, catchUp, log, metrics, clock, relaySelector, sender} = this.deps;
 		this.#isCatchingUp = true;
 		const startAtMs = clock.monotonic();
+		metrics.count('catch-up.requests');
 		try {
 			const response = await catchUp.since(member.entry, request, signal);
 			if (signal.aborted) {
 				return;
 			}
 
+			this.#recordResponse(member, response, clock.monotonic() - startAtMs);
 			state.applyCatchUp(response, startAtMs);
 			if (relaySelector.isRelay(clock.monotonic())) {
 				sender.send();
@@ -61,10 +67,23 @@
 		} catch (error) {
 			// A request that ends because this host ends is no failure of the peer.
 			if (!signal.aborted) {
-				log.warn({event: 'catch-up-failed', host: member.entry.id, message: (error as Error).message});
+				metrics.count('catch-up.failures');
+				log.warn({
+					event: 'catch-up-failed', host: member.entry.id, message: (error as Error).message, ms: Math.round(clock.monotonic() - startAtMs), ageMs: Math.round(state.ageMs()),
+				});
 			}
 		} finally {
 			this.#isCatchingUp = false;
 		}
 	}
+
+	/** Logs responses with operations and slow ones; with many workers, others come several times a second. */
+	#recordResponse({entry}: Member, {operations, workers}: CatchUpResponse, durationMs: number): void {
+		this.deps.metrics.latency('catch-up.time', durationMs);
+		if (operations !== undefined || durationMs > SLOW_RESPONSE_MS) {
+			this.deps.log.info({
+				event: 'catch-up', host: entry.id, ms: Math.round(durationMs), operations: operations?.revision, workers: workers?.revision,
+			});
+		}
+	}
 }
--- a/packages/entry/src/state/operations-replica.ts
+++ b/packages/entry/src/state/operations-replica.ts
@@ -5,6 +5,16 @@
 import type {OperationsUpdate} from '../source.js';
 import {getEpoch} from './revision.js';
 
+/** How an update of the operations is applied. */
+export type OperationsUpdateOptions = {
+	/** Whether the update is the first one after the source was restored. */
+	readonly isNewEpoch: boolean;
+	/** Upper bound of the time since the changes of the update were made, ms; `undefined` for the first update. */
+	readonly maxDelayMs: number | undefined;
+	/** Monotonic ms. */
+	readonly nowMs: number;
+};
+
 /** What an update has changed. */
 export type OperationsChange = {
 	readonly hasNewConfig: boolean;
@@ -51,10 +61,9 @@
 		return this.#fingerprint;
 	}
 
-	/** @param isNewEpoch whether the update is the first one after the source was restored. */
-	apply(update: OperationsUpdate, isNewEpoch: boolean, nowMs: number): OperationsChange {
+	apply(update: OperationsUpdate, {isNewEpoch, maxDelayMs, nowMs}: OperationsUpdateOptions): OperationsChange {
 		const haveZonesChanged = this.#applyZones(update, isNewEpoch, nowMs);
-		const hasNewConfig = update.config !== undefined && this.#applyConfig(update.config, update.revision);
+		const hasNewConfig = update.config !== undefined && this.#applyConfig(update.config, update.revision, maxDelayMs);
 		this.#updateFingerprint();
 		return {hasNewConfig, haveZonesChanged};
 	}
@@ -114,13 +123,13 @@
 		}
 	}
 
-	#applyConfig(config: SteeringConfig, revision: number): boolean {
+	#applyConfig(config: SteeringConfig, revision: number, maxDelayMs: number | undefined): boolean {
 		if (this.#routeTable && !this.#isReplacement(config, this.#routeTable, revision)) {
 			return false;
 		}
 
 		this.log.info({
-			event: 'config', version: config.version, before: this.#routeTable?.version, routes: config.routes.length, services: config.services.length,
+			event: 'config', version: config.version, before: this.#routeTable?.version, routes: config.routes.length, services: config.services.length, revision, maxDelayMs,
 		});
 		this.#configEpoch = getEpoch(revision);
 		this.#routeTable = new RouteTable(config);
--- a/packages/entry/src/state/replicated-state.ts
+++ b/packages/entry/src/state/replicated-state.ts
@@ -1,6 +1,6 @@
 import type {Clock} from '@apricotwood/clock';
 import {Fleet, type RouteTable} from '@apricotwood/steering';
-import type {Log} from '@apricotwood/telemetry';
+import type {Log, Metrics} from '@apricotwood/telemetry';
 import type {OperationsUpdate, WorkersUpdate} from '../source.js';
 import {OperationsReplica} from './operations-replica.js';
 import {getEpoch} from './revision.js';
@@ -38,6 +38,13 @@
 /** Time a live worker has to write its expired or lost entry again before it is removed, and the operator a lost evacuation before it ends, ms. */
 const REWRITE_GRACE_MS = 2300;
 
+/** What a change is about; part of the name of the metric with the upper bound of the time from its being made until it is in force on this host. */
+enum StateChange {
+	Config = 'config',
+	Evacuation = 'evacuation',
+	Workers = 'workers',
+}
+
 /** Receives notifications of state changes. */
 export interface StateListener extends WorkerListener {
 	/** Called after each applied update, even if the data did not change, and after expired data was removed. */
@@ -62,6 +69,7 @@
 	constructor(
 		private readonly clock: Clock,
 		private readonly log: Log,
+		private readonly metrics: Metrics,
 		private readonly listener: StateListener,
 		regions: ReadonlyMap<string, string>,
 	) {
@@ -99,14 +107,18 @@
 			return;
 		}
 
+		const nowMs = this.clock.monotonic();
 		const isNewEpoch = this.#isNewEpoch(this.operations, update.revision);
-		const {hasNewConfig, haveZonesChanged} = this.#operationsReplica.apply(update, isNewEpoch, this.clock.monotonic());
+		const maxDelayMs = computeMaxDelayMs(this.operations, nowMs);
+		const {hasNewConfig, haveZonesChanged} = this.#operationsReplica.apply(update, {isNewEpoch, maxDelayMs, nowMs});
 		if (hasNewConfig) {
 			this.operations.changedRevision = changeRevision;
+			this.#recordDelay(StateChange.Config, maxDelayMs);
 		}
 
 		if (haveZonesChanged) {
-			this.#recordZoneChange(changeRevision);
+			this.#recordZoneChange(changeRevision, maxDelayMs);
+			this.#recordDelay(StateChange.Evacuation, maxDelayMs);
 		}
 
 		refreshStatus(this.operations, update.revision, freshAtMs);
@@ -124,6 +136,7 @@
 		const isAfterOutage = !isFromPeer && this.workers.cursor > 0 && nowMs - this.workers.freshAtMs > SOURCE_OUTAGE_MS;
 		if (this.#workerReplica.apply(update, {isNewEpoch, removalDelayMs: isNewEpoch || isAfterOutage ? REWRITE_GRACE_MS : 0, nowMs})) {
 			this.workers.changedRevision = changeRevision;
+			this.#recordDelay(StateChange.Workers, computeMaxDelayMs(this.workers, nowMs));
 		}
 
 		refreshStatus(this.workers, update.revision, freshAtMs);
@@ -209,11 +222,18 @@
 		return isNewEpoch;
 	}
 
-	#recordZoneChange(revision: number): void {
+	#recordDelay(change: StateChange, maxDelayMs: number | undefined): void {
+		if (maxDelayMs !== undefined) {
+			this.metrics.latency(`changes.${change}`, maxDelayMs);
+		}
+	}
+
+	/** @param maxDelayMs upper bound of the time since the change was made, ms; `undefined` if this host has made it. */
+	#recordZoneChange(revision: number, maxDelayMs?: number): void {
 		const {evacuatedZones, unconfirmedZones, table} = this.#operationsReplica;
 		this.operations.changedRevision = revision;
 		this.fleet.setEvacuated(evacuatedZones, this.clock.monotonic(), service => table?.getService(service)?.warmupMs ?? 0);
-		this.log.info({event: 'evacuation', zones: [...evacuatedZones], unconfirmed: [...unconfirmedZones], revision});
+		this.log.info({event: 'evacuation', zones: [...evacuatedZones], unconfirmed: [...unconfirmedZones], revision, maxDelayMs});
 	}
 
 	#reportStatusOf({changedRevision, cursor, freshAtMs}: SyncStatus, fingerprint: number): PeerSyncStatus {
@@ -222,3 +242,8 @@
 		};
 	}
 }
+
+/** Upper bound of the time since a change was made which an update contains and the data lacks, ms: the data matched the source before it. `undefined` for the first update. */
+function computeMaxDelayMs({freshAtMs}: SyncStatus, nowMs: number): number | undefined {
+	return Number.isFinite(freshAtMs) ? Math.round(nowMs - freshAtMs) : undefined;
+}
--- a/test/entry/drain-reports.test.ts
+++ b/test/entry/drain-reports.test.ts
@@ -3,11 +3,11 @@
 import {SystemClock} from '@apricotwood/clock';
 import {DrainReports, ReplicatedState, decodeReport, encodeReport} from '@apricotwood/entry';
 import {DrainTracker, WorkerState, type Worker} from '@apricotwood/steering';
-import {NOOP_LOG} from '@apricotwood/telemetry';
+import {Metrics, NOOP_LOG} from '@apricotwood/telemetry';
 import {REGION_BY_ZONE, makeWorker} from '../fixtures/workers.js';
 
 function createHost() {
-	const state = new ReplicatedState(new SystemClock(), NOOP_LOG, {onWorkerStart() {}, onWorkerRemoved() {}, onUpdateApplied() {}}, REGION_BY_ZONE);
+	const state = new ReplicatedState(new SystemClock(), NOOP_LOG, new Metrics(), {onWorkerStart() {}, onWorkerRemoved() {}, onUpdateApplied() {}}, REGION_BY_ZONE);
 	state.fleet.put(makeWorker('w1', {bornMs: 10}), 0);
 	const drains = new DrainTracker();
 	const reports = new DrainReports({
--- a/test/entry/source-poller.test.ts
+++ b/test/entry/source-poller.test.ts
@@ -50,7 +50,7 @@
 function makePoller(rank = 0) {
 	const clock = new FakeClock();
 	const source = new FakeSource();
-	const state = new ReplicatedState(clock, NOOP_LOG, {onWorkerStart() {}, onWorkerRemoved() {}, onUpdateApplied() {}}, REGION_BY_ZONE);
+	const state = new ReplicatedState(clock, NOOP_LOG, new Metrics(), {onWorkerStart() {}, onWorkerRemoved() {}, onUpdateApplied() {}}, REGION_BY_ZONE);
 	const changeTimes: number[] = [];
 	const poller = new SourcePoller({
 		clock,
--- a/test/entry/source-restore.test.ts
+++ b/test/entry/source-restore.test.ts
@@ -7,14 +7,14 @@
 import {
 	DEFAULT_CALLER_LIMITS, WorkerState, type SteeringConfig, type WorkerRegistration,
 } from '@apricotwood/steering';
-import {NOOP_LOG} from '@apricotwood/telemetry';
+import {Metrics, NOOP_LOG} from '@apricotwood/telemetry';
 import {REGION_BY_ZONE, makeRoute, makeWorker} from '../fixtures/workers.js';
 
 /** Longer than the grace period for what is written again after a restore. */
 const GRACE_MS = 2500;
 
 function makeState(clock: FakeClock): ReplicatedState {
-	return new ReplicatedState(clock, NOOP_LOG, {onWorkerStart() {}, onWorkerRemoved() {}, onUpdateApplied() {}}, REGION_BY_ZONE);
+	return new ReplicatedState(clock, NOOP_LOG, new Metrics(), {onWorkerStart() {}, onWorkerRemoved() {}, onUpdateApplied() {}}, REGION_BY_ZONE);
 }
 
 function makeConfig(version: number, prefix = '/a/'): SteeringConfig {
--- a/test/entry/state.test.ts
+++ b/test/entry/state.test.ts
@@ -5,11 +5,13 @@
 	MemberList, ReplicatedState, computeReadDelayMs, type HostEntry, type WorkersUpdate,
 } from '@apricotwood/entry';
 import {DEFAULT_CALLER_LIMITS, type SteeringConfig, type WorkerRegistration} from '@apricotwood/steering';
-import {NOOP_LOG} from '@apricotwood/telemetry';
+import {
+	LogFormat, LogLevel, MemorySink, Metrics, NOOP_LOG, createLog,
+} from '@apricotwood/telemetry';
 import {REGION_BY_ZONE, makeRoute, makeWorker} from '../fixtures/workers.js';
 
 function makeState(clock: FakeClock): ReplicatedState {
-	return new ReplicatedState(clock, NOOP_LOG, {onWorkerStart() {}, onWorkerRemoved() {}, onUpdateApplied() {}}, REGION_BY_ZONE);
+	return new ReplicatedState(clock, NOOP_LOG, new Metrics(), {onWorkerStart() {}, onWorkerRemoved() {}, onUpdateApplied() {}}, REGION_BY_ZONE);
 }
 
 function makeConfig(version: number): SteeringConfig {
@@ -59,7 +61,7 @@
 test('replicated state: the listener hears of workers that are removed after the grace period', () => {
 	const clock = new FakeClock();
 	let updates = 0;
-	const state = new ReplicatedState(clock, NOOP_LOG, {
+	const state = new ReplicatedState(clock, NOOP_LOG, new Metrics(), {
 		onWorkerStart() {}, onWorkerRemoved() {}, onUpdateApplied() {
 			updates++;
 		},
@@ -262,3 +264,34 @@
 		assert.equal(computeReadDelayMs(rank, ageMs, sinceReadMs, OPTIONS) <= 0, isDue);
 	});
 }
+
+test('state: logs and metrics tell the longest time for which a change may have waited until it is in force', () => {
+	const clock = new FakeClock();
+	const metrics = new Metrics();
+	const sink = new MemorySink();
+	const log = createLog({
+		format: LogFormat.Json, level: LogLevel.Info, clock, sink, fields: {},
+	});
+	const state = new ReplicatedState(clock, log, metrics, {onWorkerStart() {}, onWorkerRemoved() {}, onUpdateApplied() {}}, REGION_BY_ZONE);
+	const apply = (revision: number, freshAtMs: number, evacuate: string[] = []) => {
+		state.applyOperations({
+			revision, isWhole: true, config: makeConfig(revision), evacuate, restore: [],
+		}, freshAtMs);
+		state.applyWorkers(makeWorkersUpdate(revision, [makeWorker(`w${revision}`)], [], true), freshAtMs);
+	};
+
+	apply(1, clock.monotonic());
+	assert.deepEqual(metrics.snapshot(), {}, 'the age of the first state is unknown');
+	clock.advance(2000);
+	apply(2, clock.monotonic() - 100, ['b1']);
+	clock.advance(700);
+	apply(3, clock.monotonic(), ['b1']);
+	const lines = sink.lines.map(line => JSON.parse(line) as Record<string, unknown>);
+	const delays = lines.filter(({event}) => event === 'config').map(({maxDelayMs}) => maxDelayMs);
+	assert.deepEqual(delays, [undefined, 2000, 800]);
+	assert.equal(lines.find(({event}) => event === 'evacuation')?.maxDelayMs, 2000);
+	const snapshot = metrics.snapshot();
+	for (const [change, highestMs] of [['config', 2000], ['workers', 2000], ['evacuation', 2000]] as const) {
+		assert.ok(Math.abs(snapshot[`changes.${change}.p99.9`]! - highestMs) <= highestMs * 0.01, `${change}: ${snapshot[`changes.${change}.p99.9`]}`);
+	}
+});
