--- a/packages/clock/src/fake-clock.ts
+++ b/packages/clock/src/fake-clock.ts
@@ -2,15 +2,15 @@
 
 type PendingTimer = {
 	readonly dueMs: number;
-	readonly sequence: number;
 	readonly callback: () => void;
+	isCancelled: boolean;
 };
 
 /** Clock for tests whose time moves only by `advance`. Timers fire by due time, and in creation order if due at the same time. */
 export class FakeClock implements Clock {
 	#nowMs: number;
-	#nextSequence = 0;
-	readonly #pending = new Set<PendingTimer>();
+	/** Ordered by due time, the earliest timer last; of those due at the same time, the oldest last. */
+	readonly #pending: PendingTimer[] = [];
 
 	constructor(startMs = 1_700_000_000_000) {
 		this.#nowMs = startMs;
@@ -25,11 +25,11 @@
 	}
 
 	after(delayMs: number, callback: () => void): Timer {
-		const timer: PendingTimer = {dueMs: this.#nowMs + Math.max(0, delayMs), sequence: this.#nextSequence++, callback};
-		this.#pending.add(timer);
+		const timer: PendingTimer = {dueMs: this.#nowMs + Math.max(0, delayMs), callback, isCancelled: false};
+		this.#pending.splice(this.#findPosition(timer.dueMs), 0, timer);
 		return {
-			cancel: () => {
-				this.#pending.delete(timer);
+			cancel() {
+				timer.isCancelled = true;
 			},
 		};
 	}
@@ -37,10 +37,12 @@
 	/** Moves time forward by `durationMs`, firing each timer at its due time. */
 	advance(durationMs: number): void {
 		const endMs = this.#nowMs + durationMs;
-		for (let next = this.#findEarliest(); next && next.dueMs <= endMs; next = this.#findEarliest()) {
-			this.#pending.delete(next);
-			this.#nowMs = Math.max(this.#nowMs, next.dueMs);
-			next.callback();
+		for (let next = this.#pending.at(-1); next && next.dueMs <= endMs; next = this.#pending.at(-1)) {
+			this.#pending.pop();
+			if (!next.isCancelled) {
+				this.#nowMs = Math.max(this.#nowMs, next.dueMs);
+				next.callback();
+			}
 		}
 
 		this.#nowMs = endMs;
@@ -56,14 +58,19 @@
 		}
 	}
 
-	#findEarliest(): PendingTimer | undefined {
-		let earliest: PendingTimer | undefined;
-		for (const timer of this.#pending) {
-			if (!earliest || timer.dueMs < earliest.dueMs || (timer.dueMs === earliest.dueMs && timer.sequence < earliest.sequence)) {
-				earliest = timer;
+	/** Index of the first timer that is due at `dueMs` or earlier. */
+	#findPosition(dueMs: number): number {
+		let low = 0;
+		let high = this.#pending.length;
+		while (low < high) {
+			const middle = Math.floor((low + high) / 2);
+			if (this.#pending[middle]!.dueMs > dueMs) {
+				low = middle + 1;
+			} else {
+				high = middle;
 			}
 		}
 
-		return earliest;
+		return low;
 	}
 }
