--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -16,7 +16,9 @@
 import type {GuardedRequest} from './crash-guard.js';
 import type {RequestFingerprint} from './fingerprint.js';
 import type {PeerSender} from './request-forwarder.js';
-import {FORWARDED_HEADER, REACHED_WORKER_HEADER, copyRequestHeaders} from './headers.js';
+import {
+	FORWARDED_HEADER, REACHED_WORKER_HEADER, copyRequestHeaders, formatForwardedBy,
+} from './headers.js';
 import {FIRST_ERROR_STATUS} from './response-selection.js';
 import type {SessionDeps} from './session-deps.js';
 import {DeadlineBound} from './shutdown-report.js';
@@ -128,7 +130,7 @@
 
 	/** Passes the request on to another host. A rejection of that host, or a 4xx, such as that of an earlier build which serves no other host, states that the request has not run. */
 	async sendToPeer({entry}: Member): Promise<ExchangeResult> {
-		const {clock, peerPool, dialect, hostId} = this.deps;
+		const {clock, peerPool, dialect, hostId, getConfigVersion} = this.deps;
 		const {metadata} = this.request;
 		const startAtMs = clock.monotonic();
 		const record: AttemptRecord = {
@@ -139,7 +141,7 @@
 		const connection = peerPool.acquire(entry.id, address, this.#connectionUse);
 		// The peer applies the timeout of the route itself.
 		const remainingMs = metadata.waitsMs === undefined ? undefined : metadata.waitsMs - (startAtMs - this.request.startAtMs);
-		const headers = [FORWARDED_HEADER, hostId, ...(remainingMs === undefined ? [] : dialect.buildForwardHeaders(Math.max(1, Math.floor(remainingMs))))];
+		const headers = [FORWARDED_HEADER, formatForwardedBy(hostId, getConfigVersion()), ...(remainingMs === undefined ? [] : dialect.buildForwardHeaders(Math.max(1, Math.floor(remainingMs))))];
 		const exchange = this.#createExchange(connection, headers, {isPeer: true});
 		const exchangeResult = await this.#runInTime(exchange, record, FORWARD_RESPONSE_GRACE_MS);
 		const {head} = exchangeResult;
--- a/packages/entry/src/request/headers.ts
+++ b/packages/entry/src/request/headers.ts
@@ -1,8 +1,10 @@
 import type {IncomingMessage} from 'node:http';
 import type {ResponseHeaders} from '../dialect.js';
 
-/** Header of a request that a host passes on for a caller; its value is the id of that host. */
+/** Header of a request that a host passes on for a caller, see `formatForwardedBy`. */
 export const FORWARDED_HEADER = 'x-forwarded-by-host';
+/** Separates the parts of that header. Hosts of earlier builds send the first part alone, and read none. */
+const FORWARDED_SEPARATOR = ';config=';
 /** Header of the rejection of a request that another host has passed on: it has reached a worker, which did not run it. */
 export const REACHED_WORKER_HEADER = 'x-reached-worker';
 /** Hard limit of the HTTP parser, bytes; the configured limit is checked after parsing. */
@@ -10,6 +12,19 @@
 /** Headers that are not forwarded: the hop-by-hop headers, which apply to a single connection, also that between two hosts, and `expect`, which Node.js has already answered and undici rejects. */
 const UNFORWARDED_HEADERS = new Set(['connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect', FORWARDED_HEADER, REACHED_WORKER_HEADER]);
 
+/** Formats the value of `FORWARDED_HEADER`: the id of the host and the version of the configuration by which it has chosen the route. */
+export function formatForwardedBy(hostId: string, configVersion: number | undefined): string {
+	return configVersion === undefined ? hostId : `${hostId}${FORWARDED_SEPARATOR}${configVersion}`;
+}
+
+/** Parses the version of the configuration from `FORWARDED_HEADER`. @returns 0 if there is none. */
+export function parseForwardedVersion(header: string | string[] | undefined): number {
+	const text = String(header ?? '');
+	const start = text.lastIndexOf(FORWARDED_SEPARATOR);
+	const version = start === -1 ? 0 : Number(text.slice(start + FORWARDED_SEPARATOR.length));
+	return Number.isSafeInteger(version) && version > 0 ? version : 0;
+}
+
 /**
  * Copies the request headers that are forwarded to a worker, as alternating names and values.
  * @param managedHeaders lower-case names of headers that this host sets itself.
--- a/packages/entry/src/request/ingress.ts
+++ b/packages/entry/src/request/ingress.ts
@@ -5,7 +5,9 @@
 import {DEFAULT_CALLER_LIMITS, type CallerLimits} from '@apricotwood/steering';
 import {resetSocket} from '../socket.js';
 import type {ReplicatedState} from '../state/replicated-state.js';
-import {MAX_PARSED_HEADER_BYTES, countHeaderBytes} from './headers.js';
+import {
+	FORWARDED_HEADER, MAX_PARSED_HEADER_BYTES, countHeaderBytes, parseForwardedVersion,
+} from './headers.js';
 import type {SessionDeps} from './session-deps.js';
 import {
 	RejectionCode, createNotRunRejection, createUnknownOutcomeRejection, sendRejection, type Rejection,
@@ -153,6 +155,11 @@
 			return;
 		}
 
+		if (isForwarded && parseForwardedVersion(req.headers[FORWARDED_HEADER]) > table.version) {
+			this.#reject(req, res, createNotRunRejection(RejectionCode.StaleRoutes, 'the host that has passed the request on has a newer configuration', NOT_READY_RETRY_AFTER_MS));
+			return;
+		}
+
 		// A forwarded request was checked by the host that received it, and has another header since.
 		if (!isForwarded && countHeaderBytes(req) > table.config.limits.maxHeaderBytes) {
 			this.#reject(req, res, {code: RejectionCode.HeaderTooLong, status: 431, message: `request header exceeds the limit of ${table.config.limits.maxHeaderBytes} bytes`});
