--- a/packages/entry/src/state/replicated-state.ts
+++ b/packages/entry/src/state/replicated-state.ts
@@ -186,14 +186,16 @@
 	 * @param requestedAtMs monotonic time at which the request was sent, ms.
 	 */
 	applyCatchUp(response: CatchUpResponse, requestedAtMs: number): void {
-		if (response.operations) {
-			this.applyOperations(response.operations, requestedAtMs - response.operationsAgeMs, response.operationsChanged);
-			this.operations.changedRevision = Math.max(this.operations.changedRevision, response.operationsChanged);
+		const {operations, workers, operationsChanged, workersChanged} = response;
+		// A response may be overtaken by a later one of another peer.
+		if (operations && operations.revision >= this.operations.cursor) {
+			this.applyOperations(operations, requestedAtMs - response.operationsAgeMs, operationsChanged);
+			this.operations.changedRevision = Math.max(this.operations.changedRevision, operationsChanged);
 		}
 
-		if (response.workers) {
-			this.applyWorkers(response.workers, requestedAtMs - response.workersAgeMs, response.workersChanged, true);
-			this.workers.changedRevision = Math.max(this.workers.changedRevision, response.workersChanged);
+		if (workers && workers.revision >= this.workers.cursor) {
+			this.applyWorkers(workers, requestedAtMs - response.workersAgeMs, workersChanged, true);
+			this.workers.changedRevision = Math.max(this.workers.changedRevision, workersChanged);
 			this.workers.hasFingerprintMismatch = this.#workerReplica.fingerprint !== response.workersPrint;
 		}
 	}
--- a/test/entry/state.test.ts
+++ b/test/entry/state.test.ts
@@ -212,6 +212,28 @@
 	};
 }
 
+test('replicated state: a response that a later one has overtaken changes nothing', () => {
+	const clock = new FakeClock();
+	const [own, slow, quick] = [makeState(clock), makeState(clock), makeState(clock)];
+	const read = (state: ReplicatedState, revision: number, workers: readonly WorkerRegistration[]) => {
+		state.applyOperations({
+			revision, isWhole: true, config: makeConfig(revision), evacuate: [], restore: [],
+		}, clock.monotonic());
+		state.applyWorkers(makeWorkersUpdate(revision, workers, [], true), clock.monotonic());
+	};
+
+	read(own, 1, [makeWorker('a')]);
+	read(slow, 2, [makeWorker('a'), makeWorker('b')]);
+	read(quick, 3, [makeWorker('a'), makeWorker('c')]);
+	const late = slow.buildCatchUpResponse(1, 1);
+	own.applyCatchUp(quick.buildCatchUpResponse(1, 1), clock.monotonic());
+	const before = own.reportStatus();
+	own.applyCatchUp(late, clock.monotonic());
+	assert.deepEqual(own.reportStatus(), before);
+	assert.equal(own.workers.hasFingerprintMismatch, false);
+	assert.equal(own.table?.version, 3);
+});
+
 test('members: exactly one of the live hosts has rank 0 and reads the source, and a host that cannot read it ranks last', () => {
 	const ids = ['h1', 'h2', 'h3', 'h4', 'h5'];
 	const memberLists = ids.map(id => {
