--- a/packages/entry/src/peer/heartbeat-sender.ts
+++ b/packages/entry/src/peer/heartbeat-sender.ts
@@ -26,7 +26,7 @@
 };
 
 /** Every n-th heartbeat of a relay is also sent to hosts of its zone that are not alive, and to some hosts of zones that have fewer than two responsive relays. */
-const PROBE_PERIOD_HEARTBEATS = 5;
+const PROBE_PERIOD_HEARTBEATS = 3;
 /** Maximum number of this host's own requests, as (worker, object) pairs, in one heartbeat; later ones are dropped. */
 const MAX_SENT_REQUESTS = 200;
 
