--- a/packages/entry/src/host/host-state.ts
+++ b/packages/entry/src/host/host-state.ts
@@ -17,6 +17,8 @@
 	readonly source: SteeringSource;
 	/** Region of each availability zone, by the zone's name. */
 	readonly regions: ReadonlyMap<string, string>;
+	/** Longest time from the confirmation of a change until it must be in force, ms. */
+	readonly changeDeadlineMs: number;
 	readonly members: MemberList;
 	readonly lifecycle: HostLifecycle;
 	readonly workerListener: WorkerListener;
@@ -49,7 +51,7 @@
 			state: this.replica,
 			rank: () => members.rank(clock.monotonic(), this.poller.isFailing),
 			onStateChange: announce,
-		});
+		}, {changeDeadlineMs: deps.changeDeadlineMs});
 	}
 
 	/** Applies the limits of the configuration; the first complete state makes the host ready. */
--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -44,6 +44,8 @@
 	readonly graceMs: number;
 	/** Longest time for which callers use one answer of the directory, ms. */
 	readonly lookupLifetimeMs: number;
+	/** Longest time from the confirmation of a change in the source until it must be in force on every host, ms. */
+	readonly changeDeadlineMs: number;
 };
 
 /** Dependencies of an entry host. */
@@ -183,6 +185,7 @@
 		return new HostState({
 			...this.deps,
 			regions: this.deps.settings.regions,
+			changeDeadlineMs: this.deps.settings.changeDeadlineMs,
 			members: this.members,
 			lifecycle: this.lifecycle,
 			workerListener: {
--- a/packages/entry/src/host/state-reporter.ts
+++ b/packages/entry/src/host/state-reporter.ts
@@ -60,7 +60,7 @@
 			event: 'beliefs',
 			hosts: members.count,
 			ready: members.ready(nowMs).map(({entry}) => entry.id),
-			reads: members.rank(nowMs, sourcePoller.isFailing) === 0,
+			reads: members.rank(nowMs, sourcePoller.isFailing).overall === 0,
 			config: state.table?.version,
 			ageMs: Math.round(state.ageMs()),
 			operationsAgeMs: Math.round(nowMs - state.operations.freshAtMs),
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -17,7 +17,10 @@
 } from './state/replicated-state.js';
 export type {SyncStatus, PeerSyncStatus} from './state/sync-status.js';
 export {
-	SourcePoller, computeReadDelayMs, type SourcePollerDeps, type SourcePollerOptions,
+	computeOwnReadAgeMs, computeReadDelayMs, createReadSchedule, type ReadSchedule, type ReaderRank,
+} from './state/read-schedule.js';
+export {
+	SourcePoller, type SourcePollerDeps, type SourcePollerOptions,
 } from './state/source-poller.js';
 export {composeRevision, getEpoch, getVersion} from './state/revision.js';
 export {MemberList, type Member} from './peer/members.js';
--- a/packages/entry/src/peer/catch-up.ts
+++ b/packages/entry/src/peer/catch-up.ts
@@ -28,7 +28,8 @@
 export class CatchUpClient implements CatchUpSource {
 	readonly #clients = new Map<string, TRPCClient<CatchUpRouter>>();
 	readonly #agent = new Agent({
-		connections: 1, keepAliveTimeout: KEEP_ALIVE_MS, headersTimeout: TIMEOUT_MS, bodyTimeout: TIMEOUT_MS, connect: {timeout: TIMEOUT_MS},
+		// One for each data set, so that the operations do not wait for the workers.
+		connections: 2, keepAliveTimeout: KEEP_ALIVE_MS, headersTimeout: TIMEOUT_MS, bodyTimeout: TIMEOUT_MS, connect: {timeout: TIMEOUT_MS},
 	});
 
 	async since({ip, peerPort}: HostEntry, request: CatchUpRequest, signal: AbortSignal): Promise<CatchUpResponse> {
--- a/packages/entry/src/peer/heartbeat-receiver.ts
+++ b/packages/entry/src/peer/heartbeat-receiver.ts
@@ -62,8 +62,8 @@
 			this.deps.sender.sendReports();
 		}
 
+		this.deps.stateFollower.compare(member, heartbeat, isDirect, signal);
 		if (isDirect) {
-			this.deps.stateFollower.compare(member, heartbeat, signal);
 			this.#forward(member, bytes);
 		}
 	}
--- a/packages/entry/src/peer/members.ts
+++ b/packages/entry/src/peer/members.ts
@@ -1,5 +1,6 @@
 import {hashText} from '@apricotwood/routing';
 import type {HostEntry} from '../source.js';
+import type {ReaderRank} from '../state/read-schedule.js';
 
 /** Record of another host (peer): its entry and last known status. */
 export type Member = {
@@ -93,20 +94,27 @@
 	}
 
 	/**
-	 * Returns this host's rank as reader of the source: the number of live hosts
-	 * that take precedence. Hosts that can read the source precede those that
-	 * cannot; otherwise the lower hash precedes.
+	 * Returns this host's rank as reader of the source among the live hosts. Hosts that
+	 * can read the source precede those that cannot; otherwise the lower hash precedes.
 	 */
-	rank(nowMs: number, isSelfFailing: boolean): number {
-		let rank = 0;
+	rank(nowMs: number, isSelfFailing: boolean): ReaderRank {
+		let overall = 0;
+		let inZone = 0;
+		let zoneSize = 1;
 		for (const member of this.#members.values()) {
-			const isPreferred = member.isSourceFailing === isSelfFailing ? member.hash < this.hash : isSelfFailing;
-			if (isPreferred && this.isAlive(member, nowMs)) {
-				rank++;
+			if (!this.isAlive(member, nowMs)) {
+				continue;
+			}
+
+			const precedes = Number(member.isSourceFailing === isSelfFailing ? member.hash < this.hash : isSelfFailing);
+			overall += precedes;
+			if (member.entry.zone === this.self.zone) {
+				inZone += precedes;
+				zoneSize++;
 			}
 		}
 
-		return rank;
+		return {overall, inZone, zoneSize};
 	}
 
 	#reindex(): void {
--- a/packages/entry/src/state/replicated-state.ts
+++ b/packages/entry/src/state/replicated-state.ts
@@ -88,6 +88,11 @@
 		return this.table !== undefined && this.workers.cursor > 0;
 	}
 
+	/** Whether a peer has announced a change of the operations that this host lacks. */
+	get lacksOperations(): boolean {
+		return this.operations.missingSinceMs !== undefined;
+	}
+
 	/** Latest epoch of the source that is known. */
 	get epoch(): number {
 		return getEpoch(Math.max(this.operations.cursor, this.workers.cursor));
@@ -168,12 +173,13 @@
 
 	/**
 	 * Compares the replica with a peer's status; see `compareStatus`.
+	 * @param isDirect whether the peer itself has sent its status.
 	 * @returns what to request from the peer; `undefined` if this host lacks nothing that the peer has.
 	 */
-	compareWithPeer(operations: PeerSyncStatus, workers: PeerSyncStatus): CatchUpRequest | undefined {
+	compareWithPeer(operations: PeerSyncStatus, workers: PeerSyncStatus, isDirect = true): CatchUpRequest | undefined {
 		const nowMs = this.clock.monotonic();
-		const operationsRevision = compareStatus(this.operations, this.#operationsReplica.fingerprint, operations, nowMs);
-		const workersRevision = compareStatus(this.workers, this.#workerReplica.fingerprint, workers, nowMs);
+		const operationsRevision = compareStatus(this.operations, this.#operationsReplica.fingerprint, operations, nowMs, isDirect);
+		const workersRevision = compareStatus(this.workers, this.#workerReplica.fingerprint, workers, nowMs, isDirect);
 		if (operationsRevision === undefined && workersRevision === undefined) {
 			return undefined;
 		}
--- a/packages/entry/src/state/sync-status.ts
+++ b/packages/entry/src/state/sync-status.ts
@@ -6,6 +6,11 @@
 	cursor: number;
 	/** Latest monotonic time at which the data is known to have matched the source, ms; `-Infinity` before the first read. */
 	freshAtMs: number;
+	/** Highest revision of a change that a peer has announced, and when it first did, monotonic ms. */
+	announcedRevision: number;
+	announcedAtMs: number;
+	/** Time since which a change has been missing that a peer has announced, monotonic ms; `undefined` if there is none. */
+	missingSinceMs: number | undefined;
 	/** Whether the fingerprint still differed from the peer's after the last catch-up response of a peer was applied; always `false` for the operations. */
 	hasFingerprintMismatch: boolean;
 };
@@ -22,12 +27,19 @@
 
 /** Status of a data set before its first update. */
 export function createSyncStatus(): SyncStatus {
-	return {changedRevision: 0, cursor: 0, freshAtMs: Number.NEGATIVE_INFINITY, hasFingerprintMismatch: false};
+	return {
+		changedRevision: 0, cursor: 0, freshAtMs: Number.NEGATIVE_INFINITY, announcedRevision: 0, announcedAtMs: Number.NEGATIVE_INFINITY, missingSinceMs: undefined, hasFingerprintMismatch: false,
+	};
 }
 
 /** Records that the data matched the source at `freshAtMs` (monotonic ms), up to the revision `cursor`. */
 export function refreshStatus(status: SyncStatus, cursor: number, freshAtMs: number): void {
-	status.cursor = Math.max(status.cursor, cursor);
+	if (cursor > status.cursor) {
+		status.cursor = cursor;
+		// What is still missing was announced at the time of the last announcement or a little earlier.
+		status.missingSinceMs = status.announcedRevision > cursor ? status.announcedAtMs : undefined;
+	}
+
 	status.freshAtMs = Math.max(status.freshAtMs, freshAtMs);
 }
 
@@ -37,9 +49,11 @@
  * behind. At equal cursors the fingerprints are compared only after a fingerprint
  * mismatch; otherwise the data is assumed to be equal.
  * @param nowMs monotonic ms.
+ * @param isDirect whether the peer itself has sent its status; the freshness of a forwarded one is not taken over.
  * @returns the revision after which to request changes; `undefined` if no request is needed.
  */
-export function compareStatus(own: SyncStatus, fingerprint: number, peer: PeerSyncStatus, nowMs: number): number | undefined {
+export function compareStatus(own: SyncStatus, fingerprint: number, peer: PeerSyncStatus, nowMs: number, isDirect: boolean): number | undefined {
+	recordAnnouncement(own, peer.changedRevision, nowMs);
 	if (peer.changedRevision > own.changedRevision) {
 		return own.changedRevision;
 	}
@@ -52,9 +66,18 @@
 		return 0;
 	}
 
-	if (peer.cursor >= own.cursor) {
+	if (isDirect && peer.cursor >= own.cursor) {
 		refreshStatus(own, peer.cursor, nowMs - peer.ageMs);
 	}
 
 	return undefined;
 }
+
+/** Records that a peer has a change of this revision. */
+function recordAnnouncement(status: SyncStatus, revision: number, nowMs: number): void {
+	if (revision > status.cursor && revision > status.announcedRevision) {
+		status.announcedRevision = revision;
+		status.announcedAtMs = nowMs;
+		status.missingSinceMs ??= nowMs;
+	}
+}
--- a/packages/fuzz/src/host-rig.ts
+++ b/packages/fuzz/src/host-rig.ts
@@ -60,6 +60,7 @@
 				seeds: [],
 				graceMs: GRACE_MS,
 				lookupLifetimeMs: 0,
+				changeDeadlineMs: 2000,
 			},
 			random: new SystemRandom(),
 			log,
--- a/test/entry/source-poller.test.ts
+++ b/test/entry/source-poller.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {FakeClock, SeededRandom} from '@apricotwood/clock';
-import {SourcePoller, ReplicatedState, type SteeringSource} from '@apricotwood/entry';
+import {
+	SourcePoller, ReplicatedState, type ReaderRank, type SteeringSource,
+} from '@apricotwood/entry';
 import {Metrics, NOOP_LOG} from '@apricotwood/telemetry';
 import {REGION_BY_ZONE, makeWorker} from '../fixtures/workers.js';
 
@@ -47,7 +49,9 @@
 	}
 }
 
-function makePoller(rank = 0) {
+const FIRST_RANK: ReaderRank = {overall: 0, inZone: 0, zoneSize: 1};
+
+function makePoller(rank = FIRST_RANK) {
 	const clock = new FakeClock();
 	const source = new FakeSource();
 	const state = new ReplicatedState(clock, NOOP_LOG, new Metrics(), {onWorkerStart() {}, onWorkerRemoved() {}, onUpdateApplied() {}}, REGION_BY_ZONE);
@@ -82,7 +86,7 @@
 });
 
 test('source poller: a host of higher rank reads only once its state gets too old', async () => {
-	const {clock, source, state, poller} = makePoller(3);
+	const {clock, source, state, poller} = makePoller({overall: 3, inZone: 3, zoneSize: 5});
 	const stop = new AbortController();
 	const run = poller.run(stop.signal);
 	await clock.advanceAsync(100);
--- a/test/entry/state.test.ts
+++ b/test/entry/state.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {FakeClock, SeededRandom} from '@apricotwood/clock';
 import {
-	MemberList, ReplicatedState, computeReadDelayMs, type HostEntry, type WorkersUpdate,
+	MemberList, ReplicatedState, computeOwnReadAgeMs, computeReadDelayMs, createReadSchedule, type HostEntry, type WorkersUpdate,
 } from '@apricotwood/entry';
 import {DEFAULT_CALLER_LIMITS, type SteeringConfig, type WorkerRegistration} from '@apricotwood/steering';
 import {
@@ -249,17 +249,18 @@
 		return members;
 	});
 	const ranks = memberLists.map(members => members.rank(1100, false));
-	assert.deepEqual(ranks.toSorted((a, b) => a - b), [0, 1, 2, 3, 4]);
-	const first = ranks.indexOf(0);
+	const overall = ranks.map(rank => rank.overall);
+	assert.deepEqual(overall.toSorted((a, b) => a - b), [0, 1, 2, 3, 4]);
+	const first = overall.indexOf(0);
 	for (const [index, members] of memberLists.entries()) {
 		if (index !== first) {
 			[...members.all()].find(({entry}) => entry.id === ids[first])!.isSourceFailing = true;
 		}
 	}
 
-	assert.equal(memberLists[first]!.rank(1100, true), 4);
-	assert.equal(memberLists.filter((members, index) => index !== first && members.rank(1100, false) === 0).length, 1);
-	assert.equal(memberLists[1]!.rank(9000, false), 0, 'a host without live peers has rank 0');
+	assert.equal(memberLists[first]!.rank(1100, true).overall, 4);
+	assert.equal(memberLists.filter((members, index) => index !== first && members.rank(1100, false).overall === 0).length, 1);
+	assert.deepEqual(memberLists[1]!.rank(9000, false), {overall: 0, inZone: 0, zoneSize: 1}, 'a host without live peers has rank 0');
 });
 
 test('members: the entry of an older process of a host does not replace that of a newer one', () => {
@@ -270,23 +271,67 @@
 	assert.equal(members.count, 2);
 });
 
-const OPTIONS = {
-	intervalMs: 500, takeoverAgeMs: 1000, takeoverRankStepMs: 150, timeoutMs: 900,
-};
+test('members: the hosts of a zone have consecutive ranks in it, and hosts of other zones do not count', () => {
+	const hosts = ['h1', 'h2', 'h3', 'h4', 'h5', 'h6'].map((id, index) => ({...makeHost(id), zone: `z${index % 2}`}));
+	const ranks = hosts.map(host => {
+		const members = new MemberList(host);
+		for (const other of hosts) {
+			members.put(other);
+		}
+
+		for (const member of members.all()) {
+			member.lastSeenAtMs = 1000;
+		}
+
+		return {zone: host.zone, ...members.rank(1100, false)};
+	});
+	for (const zone of ['z0', 'z1']) {
+		const ofZone = ranks.filter(rank => rank.zone === zone);
+		assert.deepEqual(ofZone.map(({inZone}) => inZone).toSorted((a, b) => a - b), [0, 1, 2]);
+		assert.deepEqual(ofZone.map(({zoneSize}) => zoneSize), [3, 3, 3]);
+	}
+});
+
+const SCHEDULE = createReadSchedule(3000, 300);
 
 for (const [rank, ageMs, sinceReadMs, isDue] of [
-	[0, 400, 499, false],
-	[0, 400, 500, true],
-	[1, 900, 9000, false],
-	[1, 1150, 9000, true],
-	[5, 1700, 9000, false],
-	[5, 1750, 9000, true],
+	[{overall: 0, inZone: 0, zoneSize: 15}, 400, 499, false],
+	[{overall: 0, inZone: 0, zoneSize: 15}, 400, 500, true],
+	[{overall: 1, inZone: 0, zoneSize: 15}, 1000, 9000, false],
+	[{overall: 1, inZone: 0, zoneSize: 15}, 1050, 9000, true],
+	[{overall: 5, inZone: 1, zoneSize: 15}, 1099, 9000, false],
+	[{overall: 5, inZone: 1, zoneSize: 15}, 1100, 9000, true],
+	[{overall: 70, inZone: 2, zoneSize: 15}, 1200, 9000, false],
+	[{overall: 86, inZone: 14, zoneSize: 15}, 1380, 9000, false],
+	[{overall: 86, inZone: 14, zoneSize: 15}, 1400, 9000, true],
+] as const) {
+	const place = `${rank.overall} hosts before, ${rank.inZone} of ${rank.zoneSize} in the zone`;
+	test(`source poller: ${place}, state ${ageMs} ms old, ${sinceReadMs} ms since the last read: ${isDue ? 'reads' : 'waits'}`, () => {
+		assert.equal(computeReadDelayMs(SCHEDULE, rank, {ageMs, sinceReadMs, missingMs: undefined}) <= 0, isDue);
+	});
+}
+
+for (const [inZone, missingMs, isDue] of [
+	[0, 309, false], [0, 311, true], [14, 449, false], [14, 451, true],
 ] as const) {
-	test(`source poller: rank ${rank}, state ${ageMs} ms old, ${sinceReadMs} ms since the last read: ${isDue ? 'reads' : 'waits'}`, () => {
-		assert.equal(computeReadDelayMs(rank, ageMs, sinceReadMs, OPTIONS) <= 0, isDue);
+	test(`source poller: ${inZone} hosts before in the zone, a change has been missing for ${missingMs} ms: ${isDue ? 'reads' : 'waits'}`, () => {
+		assert.equal(computeReadDelayMs(SCHEDULE, {overall: 50, inZone, zoneSize: 15}, {ageMs: missingMs, sinceReadMs: 9000, missingMs}) <= 0, isDue);
 	});
 }
 
+test('source poller: whatever the deadline of changes and the number of hosts, each host reads in time, the first two of a zone first', () => {
+	for (const deadlineMs of [1000, 2000, 2500, 3000, 4000, 30_000]) {
+		const schedule = createReadSchedule(deadlineMs, 300);
+		assert.ok(schedule.intervalMs < schedule.takeoverAgeMs && schedule.takeoverAgeMs < schedule.maxAgeMs && schedule.maxAgeMs <= Math.min(1400, deadlineMs * 0.65));
+		for (const zoneSize of [1, 2, 3, 15, 192]) {
+			const ages = Array.from({length: zoneSize}, (_, inZone) => computeOwnReadAgeMs(schedule, {overall: 1 + inZone, inZone, zoneSize}));
+			assert.deepEqual(ages, ages.toSorted((a, b) => a - b));
+			assert.ok(ages.every(ageMs => ageMs > schedule.takeoverAgeMs && ageMs <= schedule.maxAgeMs), ages.join(' '));
+			assert.ok(zoneSize < 3 || ages[2]! - ages[1]! >= (schedule.maxAgeMs - schedule.takeoverAgeMs) / 4, 'the others leave the first two time to pass on what they have read');
+		}
+	}
+});
+
 test('state: logs and metrics tell the longest time for which a change may have waited until it is in force', () => {
 	const clock = new FakeClock();
 	const metrics = new Metrics();
