--- a/packages/entry/src/request/ingress.ts
+++ b/packages/entry/src/request/ingress.ts
@@ -168,7 +168,7 @@
 
 		const route = table.match(req.headers.host ?? '', stripQuery(req.url ?? '/'));
 		if (!route) {
-			const isStateStale = this.state.ageMs() > MAX_STATE_AGE_MS;
+			const isStateStale = this.state.ageMs() > MAX_STATE_AGE_MS || this.state.lacksOperations;
 			this.#reject(req, res, isStateStale
 				? createNotRunRejection(RejectionCode.StaleRoutes, 'the state of this host is stale and may lack a newer route', NOT_READY_RETRY_AFTER_MS)
 				: {code: RejectionCode.NoRoute, status: 404, message: `no route matches ${req.headers.host}${req.url}`});
--- a/test/entry/stale-hosts.test.ts
+++ b/test/entry/stale-hosts.test.ts
@@ -33,3 +33,14 @@
 		assert.equal((await forward(forwardedBy)).status, 200, forwardedBy); // eslint-disable-line no-await-in-loop
 	}
 });
+
+test('an unknown route is answered 404 by a host that has all changes, and 503 while it knows that it lacks one', async () => {
+	assert.equal((await host.send('/added-later/x')).status, 404);
+	const {operations, workers} = host.host.state.reportStatus();
+	const revision = operations.cursor + 1000;
+	host.host.state.compareWithPeer({...operations, changedRevision: revision, cursor: revision}, workers);
+	const {status, headers} = await host.send('/added-later/x');
+	assert.equal(status, 503);
+	assert.ok(Number(headers['retry-after']) > 0);
+	assert.equal((await host.send('/read/x')).status, 200);
+});
