--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -16,6 +16,7 @@
 	ReplicatedState, type CatchUpResponse, type CatchUpRequest, type StateListener,
 } from './state/replicated-state.js';
 export type {SyncStatus, PeerSyncStatus} from './state/sync-status.js';
+export {MIN_CHECK_INTERVAL_MS} from './state/data-set-poller.js';
 export {
 	computeOwnReadAgeMs, computeReadDelayMs, createReadSchedule, type ReadSchedule, type ReaderRank,
 } from './state/read-schedule.js';
--- a/packages/entry/src/request/ingress.ts
+++ b/packages/entry/src/request/ingress.ts
@@ -191,6 +191,8 @@
 			url: req.url,
 			config: this.state.table?.version,
 			ageMs: Math.round(this.state.ageMs()),
+			revision: this.state.operations.cursor,
+			announced: this.state.operations.announcedRevision,
 		});
 		sendRejection(res, rejection);
 	}
--- a/packages/entry/src/state/data-set-poller.ts
+++ b/packages/entry/src/state/data-set-poller.ts
@@ -24,16 +24,14 @@
 	readonly metrics: Metrics;
 	readonly dataSet: PolledDataSet;
 	readonly schedule: ReadSchedule;
-	/** Timeout of a read, ms. */
-	readonly timeoutMs: number;
 	/** Returns the rank of this host among the readers. */
 	readonly rank: () => ReaderRank;
 	/** Called after each read that changed the data, so that peers can be notified at once. */
 	readonly onStateChange: () => void;
 };
 
-/** Bounds of the time between two checks whether a read is due, ms. */
-const MIN_CHECK_INTERVAL_MS = 20;
+/** Bounds of the time between two checks whether a read is due, ms. The lower one is the longest by which a read begins late. */
+export const MIN_CHECK_INTERVAL_MS = 20;
 const MAX_CHECK_INTERVAL_MS = 150;
 /** Upper bound of the delay after a failed read, before jitter, ms. */
 const MAX_BACKOFF_MS = 1500;
@@ -66,12 +64,12 @@
 
 	/** Reads once. A failure is logged and delays the next read by a growing backoff. */
 	async #read(signal: AbortSignal): Promise<void> {
-		const {clock, dataSet: {name, status, read}, timeoutMs, onStateChange, log} = this.deps;
+		const {clock, dataSet: {name, status, read}, schedule: {readTimeoutMs}, onStateChange, log} = this.deps;
 		const startAtMs = clock.monotonic();
 		this.#lastReadAtMs = startAtMs;
 		const changedBefore = status.changedRevision;
 		const timeoutController = new AbortController();
-		const timer = clock.after(timeoutMs, () => {
+		const timer = clock.after(readTimeoutMs, () => {
 			timeoutController.abort(new Error('no answer in time'));
 		});
 		try {
--- a/packages/entry/src/state/operations-replica.ts
+++ b/packages/entry/src/state/operations-replica.ts
@@ -11,6 +11,8 @@
 	readonly isNewEpoch: boolean;
 	/** Upper bound of the time since the changes of the update were made, ms; `undefined` for the first update. */
 	readonly maxDelayMs: number | undefined;
+	/** Time since a peer first announced a change that the data lacked, ms; `undefined` if none has. */
+	readonly sinceHeardMs: number | undefined;
 	/** Monotonic ms. */
 	readonly nowMs: number;
 };
@@ -61,9 +63,9 @@
 		return this.#fingerprint;
 	}
 
-	apply(update: OperationsUpdate, {isNewEpoch, maxDelayMs, nowMs}: OperationsUpdateOptions): OperationsChange {
-		const haveZonesChanged = this.#applyZones(update, isNewEpoch, nowMs);
-		const hasNewConfig = update.config !== undefined && this.#applyConfig(update.config, update.revision, maxDelayMs);
+	apply(update: OperationsUpdate, options: OperationsUpdateOptions): OperationsChange {
+		const haveZonesChanged = this.#applyZones(update, options);
+		const hasNewConfig = update.config !== undefined && this.#applyConfig(update.config, update.revision, options);
 		this.#updateFingerprint();
 		return {hasNewConfig, haveZonesChanged};
 	}
@@ -92,7 +94,7 @@
 		};
 	}
 
-	#applyZones({isWhole, evacuate, restore}: OperationsUpdate, isNewEpoch: boolean, nowMs: number): boolean {
+	#applyZones({isWhole, evacuate, restore}: OperationsUpdate, {isNewEpoch, nowMs}: OperationsUpdateOptions): boolean {
 		const previousZones = this.#formatZones();
 		if (isWhole && isNewEpoch) {
 			for (const zone of this.#evacuatedZones) {
@@ -123,13 +125,13 @@
 		}
 	}
 
-	#applyConfig(config: SteeringConfig, revision: number, maxDelayMs: number | undefined): boolean {
+	#applyConfig(config: SteeringConfig, revision: number, {maxDelayMs, sinceHeardMs}: OperationsUpdateOptions): boolean {
 		if (this.#routeTable && !this.#isReplacement(config, this.#routeTable, revision)) {
 			return false;
 		}
 
 		this.log.info({
-			event: 'config', version: config.version, before: this.#routeTable?.version, routes: config.routes.length, services: config.services.length, revision, maxDelayMs,
+			event: 'config', version: config.version, before: this.#routeTable?.version, routes: config.routes.length, services: config.services.length, revision, maxDelayMs, sinceHeardMs,
 		});
 		this.#configEpoch = getEpoch(revision);
 		this.#routeTable = new RouteTable(config);
--- a/packages/entry/src/state/read-schedule.ts
+++ b/packages/entry/src/state/read-schedule.ts
@@ -18,6 +18,8 @@
 	readonly maxAgeMs: number;
 	/** Time for which a host that has heard of a change waits for a peer to send it, before the hosts of a zone read themselves one after the other. */
 	readonly peerWaitMs: number;
+	/** Timeout of a read. */
+	readonly readTimeoutMs: number;
 };
 
 /** What a host knows of a data set, ms. */
@@ -34,10 +36,12 @@
 const MAX_INTERVAL_MS = 500;
 const MAX_TAKEOVER_AGE_MS = 1000;
 const MAX_AGE_MS = 1400;
-/** Parts of the schedule, as ratios of the deadline of changes. The rest after `MAX_AGE_RATIO` is for the read itself. */
+const MAX_READ_TIMEOUT_MS = 900;
+/** Parts of the schedule, as ratios of the deadline of changes. A read that begins at the highest age ends before the deadline, with the time to notice that it is due. */
 const INTERVAL_RATIO = 0.25;
 const TAKEOVER_AGE_RATIO = 0.5;
 const MAX_AGE_RATIO = 0.65;
+const READ_TIMEOUT_RATIO = 0.3;
 /** Number of hosts of each zone that read before the others, which then receive the changes from them. */
 const FIRST_READERS_PER_ZONE = 2;
 /** Parts of the time from `takeoverAgeMs` to `maxAgeMs`: the first readers of a zone read up to the first ratio, the others from the second one on. */
@@ -56,6 +60,7 @@
 		takeoverAgeMs: Math.min(MAX_TAKEOVER_AGE_MS, changeDeadlineMs * TAKEOVER_AGE_RATIO),
 		maxAgeMs: Math.min(MAX_AGE_MS, changeDeadlineMs * MAX_AGE_RATIO),
 		peerWaitMs: Math.min(peerWaitMs, changeDeadlineMs * INTERVAL_RATIO),
+		readTimeoutMs: Math.min(MAX_READ_TIMEOUT_MS, changeDeadlineMs * READ_TIMEOUT_RATIO),
 	};
 }
 
--- a/packages/entry/src/state/replicated-state.ts
+++ b/packages/entry/src/state/replicated-state.ts
@@ -115,7 +115,10 @@
 		const nowMs = this.clock.monotonic();
 		const isNewEpoch = this.#isNewEpoch(this.operations, update.revision);
 		const maxDelayMs = computeMaxDelayMs(this.operations, nowMs);
-		const {hasNewConfig, haveZonesChanged} = this.#operationsReplica.apply(update, {isNewEpoch, maxDelayMs, nowMs});
+		const {missingSinceMs} = this.operations;
+		const {hasNewConfig, haveZonesChanged} = this.#operationsReplica.apply(update, {
+			isNewEpoch, maxDelayMs, sinceHeardMs: missingSinceMs === undefined ? undefined : Math.round(nowMs - missingSinceMs), nowMs,
+		});
 		if (hasNewConfig) {
 			this.operations.changedRevision = changeRevision;
 			this.#recordDelay(StateChange.Config, maxDelayMs);
@@ -206,12 +209,16 @@
 		}
 	}
 
-	/** Builds the response with all changes after the given revisions. */
+	/** Builds the response with all changes after the given revisions. Counts what is sent: configurations and workers. */
 	buildCatchUpResponse(operationsRevision: number, workersRevision: number): CatchUpResponse {
 		const nowMs = this.clock.monotonic();
+		const operations = this.operations.changedRevision > operationsRevision ? this.#operationsReplica.buildSnapshot(this.operations.cursor) : undefined;
+		const workers = this.workers.changedRevision > workersRevision ? this.#workerReplica.buildUpdate(workersRevision, this.workers.cursor) : undefined;
+		this.metrics.count('catch-up.served.operations', operations ? 1 : 0);
+		this.metrics.count('catch-up.served.workers', workers?.changed.length ?? 0);
 		return {
-			operations: this.operations.changedRevision > operationsRevision ? this.#operationsReplica.buildSnapshot(this.operations.cursor) : undefined,
-			workers: this.workers.changedRevision > workersRevision ? this.#workerReplica.buildUpdate(workersRevision, this.workers.cursor) : undefined,
+			operations,
+			workers,
 			operationsAgeMs: nowMs - this.operations.freshAtMs,
 			workersAgeMs: nowMs - this.workers.freshAtMs,
 			operationsChanged: this.operations.changedRevision,
--- a/packages/entry/src/state/source-poller.ts
+++ b/packages/entry/src/state/source-poller.ts
@@ -9,11 +9,9 @@
 export type SourcePollerOptions = {
 	/** Longest time from the confirmation of a change in the source until it must be in force on every host, ms. @default 3000 */
 	readonly changeDeadlineMs?: number;
-	/** Timeout of a read, ms. @default 900 */
-	readonly timeoutMs?: number;
 };
 
-const DEFAULT_OPTIONS: Required<SourcePollerOptions> = {changeDeadlineMs: 3000, timeoutMs: 900};
+const DEFAULT_CHANGE_DEADLINE_MS = 3000;
 /** Time for which a host waits for a peer to send a change that it has heard of, ms. The operations are small and change rarely; the workers change often. */
 const OPERATIONS_PEER_WAIT_MS = 300;
 const WORKERS_PEER_WAIT_MS = 600;
@@ -46,12 +44,10 @@
 	readonly #operations: DataSetPoller;
 	readonly #workers: DataSetPoller;
 
-	constructor(private readonly deps: SourcePollerDeps, options: SourcePollerOptions = {}) {
-		const {changeDeadlineMs, timeoutMs} = {...DEFAULT_OPTIONS, ...options};
+	constructor(private readonly deps: SourcePollerDeps, {changeDeadlineMs = DEFAULT_CHANGE_DEADLINE_MS}: SourcePollerOptions = {}) {
 		const {source, state} = deps;
 		this.#operations = new DataSetPoller({
 			...deps,
-			timeoutMs,
 			schedule: createReadSchedule(changeDeadlineMs, OPERATIONS_PEER_WAIT_MS),
 			dataSet: {
 				name: 'operations',
@@ -63,7 +59,6 @@
 		});
 		this.#workers = new DataSetPoller({
 			...deps,
-			timeoutMs,
 			schedule: createReadSchedule(changeDeadlineMs, WORKERS_PEER_WAIT_MS),
 			dataSet: {
 				name: 'workers',
--- a/test/entry/late-change.test.ts
+++ b/test/entry/late-change.test.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {SeededRandom} from '@apricotwood/clock';
+import {
+	MIN_CHECK_INTERVAL_MS, computeOwnReadAgeMs, createReadSchedule, type ReaderRank,
+} from '@apricotwood/entry';
 import {ClusterSimulation, type SimulatedHost} from '../fixtures/cluster-simulation.js';
 
 /** Simulated time for the hosts of a new cluster to discover each other, ms. */
@@ -53,6 +56,31 @@
 	return Number.POSITIVE_INFINITY;
 }
 
+/** The steps from the last time at which a host's data matched the source until it has a change by its own read, with their limits in ms: the path that needs no other host. */
+function listOwnReadSteps(deadlineMs: number, rank: ReaderRank): Array<readonly [string, number]> {
+	const schedule = createReadSchedule(deadlineMs, deadlineMs);
+	return [
+		['age at which the host reads itself', computeOwnReadAgeMs(schedule, rank)],
+		['check whether a read is due', MIN_CHECK_INTERVAL_MS],
+		['read of the source', schedule.readTimeoutMs],
+	];
+}
+
+for (const [hosts, deadlineMs] of SIZES) {
+	test(`late change: the steps of the path without other hosts end within ${deadlineMs} ms for each of ${hosts} hosts`, () => {
+		const zoneSize = Math.ceil(hosts / ZONES);
+		for (let inZone = 0; inZone < zoneSize; inZone++) {
+			const steps = listOwnReadSteps(deadlineMs, {overall: hosts - 1, inZone, zoneSize});
+			let sumMs = 0;
+			for (const [, limitMs] of steps) {
+				sumMs += limitMs;
+			}
+
+			assert.ok(sumMs <= deadlineMs, steps.map(step => step.join(': ')).join(', '));
+		}
+	});
+}
+
 async function assertChangeInTime(cluster: ClusterSimulation): Promise<void> {
 	const delayMs = await measureChange(cluster, 2 * cluster.changeDeadlineMs);
 	assert.ok(delayMs <= cluster.changeDeadlineMs, `the change was in force after ${delayMs} ms`);
