--- a/packages/entry/src/request/attempt-outcome.ts
+++ b/packages/entry/src/request/attempt-outcome.ts
@@ -2,6 +2,7 @@
 	AttemptOutcome, type Placement, type Route, type Worker,
 } from '@apricotwood/steering';
 import {ExchangeEnd, type ExchangeResult, type ResponseHead} from '../upstream/exchange.js';
+import type {GuardedRequest} from './crash-guard.js';
 import type {RequestFingerprint} from './fingerprint.js';
 import {FIRST_ERROR_STATUS} from './response-selection.js';
 import type {SessionDeps} from './session-deps.js';
@@ -12,7 +13,7 @@
 	readonly service: string;
 	/** Hash of the requested object; `undefined` when the request has none. */
 	readonly object: number | undefined;
-	readonly fingerprint: RequestFingerprint;
+	readonly guarded: GuardedRequest;
 	/** Deadline of the request, which its workers are told, monotonic ms. */
 	readonly deadlineAtMs: number;
 };
@@ -69,14 +70,14 @@
 		case ExchangeEnd.Mismatched: {
 			pool.recordMismatch(id, address);
 			workerHealth.recordAttempt(hash, AttemptOutcome.Failed, nowMs);
-			crashDetector.recordCancelled(worker, req.fingerprint.value, req.deadlineAtMs);
+			crashDetector.recordCancelled(worker, req.guarded.fingerprint.value, req.deadlineAtMs);
 			break;
 		}
 
 		case ExchangeEnd.Broken: {
 			workerHealth.recordAttempt(hash, AttemptOutcome.Failed, nowMs);
 			if (hasBrokenConnection(result)) {
-				crashDetector.recordBrokenConnection(worker, req.fingerprint.value);
+				crashDetector.recordBrokenConnection(worker, req.guarded.fingerprint.value);
 			}
 
 			break;
@@ -89,7 +90,7 @@
 
 		case ExchangeEnd.Cancelled: {
 			if (result.mayHaveRun && !result.head) {
-				crashDetector.recordCancelled(worker, req.fingerprint.value, req.deadlineAtMs);
+				crashDetector.recordCancelled(worker, req.guarded.fingerprint.value, req.deadlineAtMs);
 			}
 
 			if (hasTimedOut) {
@@ -110,7 +111,7 @@
 	}
 
 	if (head.status < FIRST_ERROR_STATUS) {
-		recordServed(deps, req.fingerprint);
+		recordServed(deps, req.guarded.fingerprint);
 	}
 
 	const reported = head.metadata.load;
--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -14,7 +14,6 @@
 import {hasBrokenConnection, recordOutcome} from './attempt-outcome.js';
 import {streamBody, type RequestBody} from './body.js';
 import type {GuardedRequest} from './crash-guard.js';
-import type {RequestFingerprint} from './fingerprint.js';
 import type {PeerSender} from './request-forwarder.js';
 import {
 	FORWARDED_HEADER, REACHED_WORKER_HEADER, copyRequestHeaders, formatForwardedBy,
@@ -59,7 +58,6 @@
 	readonly object: number | undefined;
 	readonly metadata: RequestMetadata;
 	readonly guarded: GuardedRequest;
-	readonly fingerprint: RequestFingerprint;
 	/** Arrival of the request, monotonic ms. */
 	readonly startAtMs: number;
 	/** Monotonic ms. */
--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -1,5 +1,4 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {readPendingInput} from '@apricotwood/clock';
 import {
 	RequestKind, computeWaitUntilMs, hashObject, type Placement, type Route,
 } from '@apricotwood/steering';
@@ -9,12 +8,14 @@
 import {
 	BodyReadResult, hasBody, readBody, type RequestBody,
 } from './body.js';
+import {CallerConnection} from './caller-connection.js';
 import {createQuarantineRejection, type GuardedRequest} from './crash-guard.js';
 import {RequestFingerprint} from './fingerprint.js';
 import {REACHED_WORKER_HEADER} from './headers.js';
 import {PlacementWaiter} from './placement-waiter.js';
 import {RejectionCode, createUnknownOutcomeRejection, type Rejection} from './rejection.js';
 import {ANSWERED_CODE, logRequestEnd, type EndedRequest} from './request-log.js';
+import {computeTiming, type RequestTiming} from './request-timing.js';
 import {isPeerRejection, shouldForward} from './response-selection.js';
 import {ResponseWriter} from './response-writer.js';
 import type {SessionDeps} from './session-deps.js';
@@ -27,21 +28,16 @@
 
 /** Proxies one request of a caller: chooses workers, retries within the budget and forwards the response. */
 export class Session {
-	/** Arrival of the request, monotonic ms. */
-	readonly #startAtMs: number;
-	/** Deadline of the request, monotonic ms. */
-	readonly #deadlineAtMs: number;
-	/** Time by which the response should arrive (the route's target latency after the caller's first attempt), monotonic ms. */
-	readonly #targetAtMs: number;
+	readonly #timing: RequestTiming;
 	readonly #service: string;
 	readonly #object: number | undefined;
 	readonly #excludedWorkers = new Set<string>();
+	readonly #caller: CallerConnection;
 	readonly #writer: ResponseWriter;
 	readonly #waiter: PlacementWaiter;
 	readonly #rejections: SessionRejections;
 	#sender: AttemptSender | undefined;
 	#fingerprint: RequestFingerprint | undefined;
-	#hasCallerLeft = false;
 	/** Why the request was stopped before it had a response. */
 	#stopReason: Rejection | undefined;
 	#isCut = false;
@@ -56,14 +52,12 @@
 		/** Whether another host has passed the request on to this one. */
 		private readonly isForwarded: boolean,
 	) {
-		const {clock, trafficSplitter, random, retryDetector} = deps;
+		const {trafficSplitter, random} = deps;
+		this.#caller = new CallerConnection(req, res);
 		this.#writer = new ResponseWriter(res, deps.isLeaving);
-		this.#startAtMs = clock.monotonic();
-		this.#rejections = new SessionRejections(deps, {route, metadata, startAtMs: this.#startAtMs});
-		const callerTimeoutMs = metadata.waitsMs ?? route.timeoutMs;
-		this.#deadlineAtMs = this.#startAtMs + Math.min(callerTimeoutMs, route.timeoutMs);
-		const elapsedMs = metadata.waitsMs === undefined ? 0 : retryDetector.estimateElapsedMs(route.name, metadata.waitsMs);
-		this.#targetAtMs = this.#startAtMs + route.targetMs - elapsedMs;
+		this.#timing = computeTiming(deps, route, metadata);
+		const {startAtMs, deadlineAtMs, targetAtMs, isCallerRetry} = this.#timing;
+		this.#rejections = new SessionRejections(deps, {route, metadata, startAtMs});
 		const randomKey = Math.floor(random.next() * (2 ** 32));
 		this.#service = trafficSplitter.chooseService(route, metadata.object, random.next());
 		this.#object = route.hasAffinity && metadata.object !== undefined ? hashObject(route, this.#service, metadata.object) : undefined;
@@ -73,28 +67,18 @@
 			objectHash: this.#object,
 			randomKey,
 			excludedIds: this.#excludedWorkers,
-			targetAtMs: this.#targetAtMs,
-			deadlineAtMs: this.#deadlineAtMs,
-			isCallerRetry: elapsedMs > 0,
-			waitUntilMs: computeWaitUntilMs(this.#startAtMs, this.#deadlineAtMs),
+			targetAtMs,
+			deadlineAtMs,
+			isCallerRetry,
+			waitUntilMs: computeWaitUntilMs(startAtMs, deadlineAtMs),
 		});
 	}
 
 	/** Runs until the request has ended. Failures of workers and callers are handled here; the promise rejects only on an unexpected exception. */
 	async run(): Promise<void> {
 		const {retryBudget, clock} = this.deps;
-		const {socket} = this.req;
-		const onCallerLeft = () => {
+		this.#caller.watch(() => {
 			this.#onCallerLeft();
-		};
-
-		// The server closes the connection at the caller's end; its `close` event follows turns of the event loop later.
-		socket.once('end', onCallerLeft);
-		this.res.once('close', () => {
-			socket.off('end', onCallerLeft);
-			if (!this.res.writableFinished) {
-				onCallerLeft();
-			}
 		});
 		const body = hasBody(this.req) ? await readBody(this.req, this.deps.maxBodyBytes(), this.deps.heldBytes) : undefined;
 		const rejection = this.#checkBody(body);
@@ -104,27 +88,17 @@
 		}
 
 		try {
-			await this.#detectDeparture();
+			await this.#caller.detectDeparture();
 			if (!this.isForwarded) {
 				retryBudget.recordRequest(this.#service, clock.monotonic());
 			}
 
-			this.#finish(this.#hasCallerLeft ? undefined : await this.#serve(body));
+			this.#finish(this.#caller.hasLeft ? undefined : await this.#serve(body));
 		} finally {
 			body?.rest?.release();
 		}
 	}
 
-	/** Notices a caller that has left although this host, while it lags, has not read the end of the connection yet. */
-	async #detectDeparture(): Promise<void> {
-		await readPendingInput();
-		const {socket} = this.req;
-		if (socket.readableEnded || socket.destroyed) {
-			this.#hasCallerLeft = true;
-			this.#waiter.stop();
-		}
-	}
-
 	#checkBody(body: RequestBody | undefined): Rejection | undefined {
 		if (body?.result === BodyReadResult.TooLong) {
 			return {code: RejectionCode.BodyTooLong, status: 413, message: `request body exceeds the limit of ${this.deps.maxBodyBytes()} bytes`};
@@ -168,7 +142,7 @@
 		}
 
 		const rejection = await this.#tryWorkers(body, sender, guarded);
-		const isOver = !rejection || sender.mayHaveRun || this.#hasCallerLeft || this.#stopReason !== undefined || this.#remainingMs < MIN_ATTEMPT_MS;
+		const isOver = !rejection || sender.mayHaveRun || this.#caller.hasLeft || this.#stopReason !== undefined || this.#remainingMs < MIN_ATTEMPT_MS;
 		const isBodyTaken = body?.rest?.isUntaken === false;
 		if (isOver || isBodyTaken || !forwarder.canHelp(rejection, this.#service)) {
 			return rejection;
@@ -184,7 +158,7 @@
 			return NOT_FORWARDED;
 		}
 
-		const forwardable = {route: this.route, service: this.#service, deadlineAtMs: this.#deadlineAtMs};
+		const forwardable = {route: this.route, service: this.#service, deadlineAtMs: this.#timing.deadlineAtMs};
 		const result = await this.deps.forwarder.forward(forwardable, sender, body?.result !== BodyReadResult.Unbuffered);
 		if (!result) {
 			return NOT_FORWARDED;
@@ -258,24 +232,24 @@
 
 		const isRepeatable = !sender.mayHaveRun || (this.route.kind === RequestKind.Idempotent && this.deps.crashGuard.canRetry(guarded, sender.brokenAttempts));
 		// `#tryWorkers` does not count attempts that sent nothing, so the number of all attempts is bounded here: at most `maxAttempts` + 3.
-		return isRepeatable && !this.#hasCallerLeft && this.#remainingMs >= MIN_ATTEMPT_MS && sender.records.length <= this.route.maxAttempts + 2;
+		return isRepeatable && !this.#caller.hasLeft && this.#remainingMs >= MIN_ATTEMPT_MS && sender.records.length <= this.route.maxAttempts + 2;
 	}
 
 	#createSender(body: RequestBody | undefined, guarded: GuardedRequest): AttemptSender {
 		return new AttemptSender(this.deps, {
-			req: this.req, body, route: this.route, service: this.#service, object: this.#object, metadata: this.metadata, guarded, fingerprint: guarded.fingerprint, startAtMs: this.#startAtMs, deadlineAtMs: this.#deadlineAtMs,
+			req: this.req, body, route: this.route, service: this.#service, object: this.#object, metadata: this.metadata, guarded, startAtMs: this.#timing.startAtMs, deadlineAtMs: this.#timing.deadlineAtMs,
 		}, this.#writer);
 	}
 
 	get #remainingMs(): number {
-		return this.#deadlineAtMs - this.deps.clock.monotonic();
+		return this.#timing.deadlineAtMs - this.deps.clock.monotonic();
 	}
 
 	/** Chooses a worker for the next attempt. @returns `undefined` if the caller has left or the request was stopped. */
 	async #awaitPlacement(): Promise<Placement | undefined> {
 		const isRetry = this.#sender !== undefined && this.#sender.records.length > 0;
 		if (isRetry) {
-			await this.#detectDeparture();
+			await this.#caller.detectDeparture();
 		}
 
 		return this.#waiter.place();
@@ -325,7 +299,6 @@
 	}
 
 	#onCallerLeft(): void {
-		this.#hasCallerLeft = true;
 		this.#waiter.stop();
 		this.#sender?.cancel();
 	}
@@ -347,7 +320,7 @@
 		}
 
 		this.#isFinished = true;
-		if (rejection && !this.#hasCallerLeft) {
+		if (rejection && !this.#caller.hasLeft) {
 			this.#tellWhetherSent();
 			this.#writer.reject(rejection);
 		}
@@ -356,7 +329,7 @@
 			this.deps.shutdownReport.recordRejection();
 		}
 
-		this.#log(this.#hasCallerLeft ? RejectionCode.CallerLeft : (rejection?.code ?? ANSWERED_CODE), rejection?.message);
+		this.#log(this.#caller.hasLeft ? RejectionCode.CallerLeft : (rejection?.code ?? ANSWERED_CODE), rejection?.message);
 	}
 
 	/** Tells the host that has passed the request on whether sending it once more would be a repeat. */
@@ -374,8 +347,8 @@
 			service: this.#service,
 			metadata: this.metadata,
 			isForwarded: this.isForwarded,
-			startAtMs: this.#startAtMs,
-			targetAtMs: this.#targetAtMs,
+			startAtMs: this.#timing.startAtMs,
+			targetAtMs: this.#timing.targetAtMs,
 			queuedMs: this.#waiter.queuedMs,
 			status: this.#writer.status,
 			sender: this.#sender,
