--- a/packages/entry/src/peer/heartbeat-sender.ts
+++ b/packages/entry/src/peer/heartbeat-sender.ts
@@ -151,6 +151,11 @@
 	}
 
 	#sendReportsTo(members: readonly Member[], nowMs: number): void {
+		// What is taken counts as told.
+		if (members.length === 0) {
+			return;
+		}
+
 		for (const message of this.deps.reports.create(nowMs)) {
 			this.#sendBytes(members, message);
 		}
--- a/test/entry/crash-reports.test.ts
+++ b/test/entry/crash-reports.test.ts
@@ -73,3 +73,24 @@
 	await cluster.clock.advanceAsync(5000);
 	assert.equal(late.crashes.classify(REQUEST, cluster.clock.monotonic()), CrashVerdict.Quarantined);
 });
+
+test('crash reports: what a host sees while it hears from nobody is told when it hears from others again', async () => {
+	const cluster = new ClusterSimulation(new SeededRandom(5), 10, 6);
+	await cluster.clock.advanceAsync(SETTLE_MS);
+	const hosts = cluster.getRunningHosts();
+	const apart = hosts.slice(0, 3);
+	for (const {entry} of apart) {
+		cluster.isolatedHosts.add(entry.id);
+	}
+
+	await cluster.clock.advanceAsync(2000);
+	for (const [index, {crashes}] of apart.entries()) {
+		crashes.recordCrash(REQUEST, index, cluster.clock.monotonic());
+	}
+
+	await cluster.clock.advanceAsync(2000);
+	cluster.isolatedHosts.clear();
+	await cluster.clock.advanceAsync(2500);
+	const nowMs = cluster.clock.monotonic();
+	assert.deepEqual(new Set(hosts.map(({crashes}) => crashes.classify(REQUEST, nowMs))), new Set([CrashVerdict.Quarantined]));
+});
