--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -5,6 +5,7 @@
 import AgreementShow from './commands/agreement/show.js';
 import AgreementStatus from './commands/agreement/status.js';
 import Drain from './commands/drain.js';
+import ExperimentChanges from './commands/experiment/changes.js';
 import ExperimentLosses from './commands/experiment/losses.js';
 import ExperimentRecord from './commands/experiment/record.js';
 import ExperimentRun from './commands/experiment/run.js';
@@ -22,6 +23,7 @@
 	explain: Explain,
 	drain: Drain,
 	undrain: Undrain,
+	'experiment:changes': ExperimentChanges,
 	'experiment:losses': ExperimentLosses,
 	'experiment:record': ExperimentRecord,
 	'experiment:run': ExperimentRun,
--- a/packages/cli/src/trace.ts
+++ b/packages/cli/src/trace.ts
@@ -5,6 +5,8 @@
 /** Events that are not about a single request, but may explain how a host handled one. */
 const RELATED_EVENTS = new Set([
 	'config',
+	'catch-up',
+	'catch-up-failed',
 	'evacuation',
 	'worker',
 	'worker-gone',
--- a/packages/experiment/src/index.ts
+++ b/packages/experiment/src/index.ts
@@ -1,3 +1,4 @@
+export {listChanges, type ChangeSpread} from './changes.js';
 export {parsePattern, type LoadPattern} from './pattern.js';
 export {
 	LossCause, classifyRequest, countLosses, type LossCounts, type LossWindow, type Losses,
--- a/test/cli/experiment.test.ts
+++ b/test/cli/experiment.test.ts
@@ -184,3 +184,24 @@
 	assert.equal((await ctl('losses', '--logs', file)).status, 1);
 	assert.equal((await ctl('losses', '--logs', path.join(folder, 'none'))).status, 2);
 });
+
+test('changes: each version of a log has its first and last host, and hosts that start with it do not count', async () => {
+	const file = path.join(folder, 'changes.log');
+	const lines = [
+		{at: 1000, self: 'h1', event: 'config', version: 2, maxDelayMs: undefined},
+		{at: 2000, self: 'h1', event: 'config', version: 5, before: 2, maxDelayMs: 480},
+		{at: 2100, self: 'h2', event: 'catch-up-failed', host: 'h1'},
+		{at: 2600, self: 'h3', event: 'config', version: 5, before: 2, maxDelayMs: 1130},
+		{at: 2400, self: 'h2', event: 'config', version: 5, before: 2, maxDelayMs: 910},
+		{at: 9000, self: 'h4', event: 'config', version: 5},
+	];
+	writeFileSync(file, lines.map(line => `${JSON.stringify(line)}\n`).join(''));
+	const {status, out} = await ctl('changes', '--logs', file, '--json');
+	assert.equal(status, 0);
+	assert.deepEqual(JSON.parse(out), [{
+		version: 5, firstHost: 'h1', firstAtMs: 2000, lastHost: 'h3', spreadMs: 600, hostCount: 3, maxDelayMs: 1130, failedRequests: 1,
+	}]);
+	assert.match((await ctl('changes', '--logs', file)).out, /5 .*3 .*h1 .*h3 .*600 .*1130 .*1/);
+	writeFileSync(file, '');
+	assert.equal((await ctl('changes', '--logs', file)).status, 1);
+});
