--- a/packages/entry/src/peer/members.ts
+++ b/packages/entry/src/peer/members.ts
@@ -13,7 +13,7 @@
 	lastDirectAtMs: number;
 	/** Whether it reports that it serves callers. */
 	isReady: boolean;
-	/** Whether it reports that it cannot read the source. */
+	/** Whether it reports that it cannot read the source, or only slowly. */
 	isSourceFailing: boolean;
 };
 
@@ -95,7 +95,8 @@
 
 	/**
 	 * Returns this host's rank as reader of the source among the live hosts. Hosts that
-	 * can read the source precede those that cannot; otherwise the lower hash precedes.
+	 * can read the source precede those that cannot, or only slowly; otherwise the lower
+	 * hash precedes.
 	 */
 	rank(nowMs: number, isSelfFailing: boolean): ReaderRank {
 		let overall = 0;
--- a/packages/entry/src/state/data-set-poller.ts
+++ b/packages/entry/src/state/data-set-poller.ts
@@ -33,6 +33,8 @@
 /** Bounds of the time between two checks whether a read is due, ms. The lower one is the longest by which a read begins late. */
 export const MIN_CHECK_INTERVAL_MS = 20;
 const MAX_CHECK_INTERVAL_MS = 150;
+/** Duration from which a read is slow, ms: a host whose processor or link is full still reads, but others do so sooner. */
+const SLOW_READ_MS = 400;
 /** Upper bound of the delay after a failed read, before jitter, ms. */
 const MAX_BACKOFF_MS = 1500;
 /** Jitter of that delay, as a ratio of it. */
@@ -41,14 +43,16 @@
 /** Reads one data set from the source whenever `computeReadDelayMs` says so. */
 export class DataSetPoller {
 	#consecutiveFailures = 0;
+	/** Whether the last read was successful and slow. */
+	#isSlow = false;
 	#lastReadAtMs = Number.NEGATIVE_INFINITY;
 	#retryNotBeforeMs = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly deps: DataSetPollerDeps) {}
 
-	/** Whether the last completed read failed. */
+	/** Whether the last completed read failed, or was so slow that another host should read. */
 	get isFailing(): boolean {
-		return this.#consecutiveFailures > 0;
+		return this.#consecutiveFailures > 0 || this.#isSlow;
 	}
 
 	/** Runs until the signal is aborted. */
@@ -74,7 +78,7 @@
 		});
 		try {
 			await read(startAtMs, AbortSignal.any([signal, timeoutController.signal]));
-			this.#recordSuccess();
+			this.#recordSuccess(clock.monotonic() - startAtMs);
 		} catch (error) {
 			if (!signal.aborted) {
 				this.#recordFailure(error as Error);
@@ -102,9 +106,15 @@
 		return Math.max(this.#retryNotBeforeMs - nowMs, delayMs);
 	}
 
-	#recordSuccess(): void {
+	#recordSuccess(durationMs: number): void {
 		const {metrics, log, dataSet: {name}} = this.deps;
 		metrics.count(`source.reads.${name}`);
+		metrics.latency(`source.time.${name}`, durationMs);
+		this.#isSlow = durationMs > SLOW_READ_MS;
+		if (this.#isSlow) {
+			log.warn({event: 'source-slow', dataSet: name, ms: Math.round(durationMs)});
+		}
+
 		if (this.#consecutiveFailures > 0) {
 			log.info({event: 'source-regained', dataSet: name, failures: this.#consecutiveFailures});
 		}
--- a/packages/entry/src/state/source-poller.ts
+++ b/packages/entry/src/state/source-poller.ts
@@ -70,7 +70,7 @@
 		});
 	}
 
-	/** Whether the last completed read of the operations or of the workers failed. */
+	/** Whether the last completed read of the operations or of the workers failed, or was so slow that another host should read. */
 	get isFailing(): boolean {
 		return this.#operations.isFailing || this.#workers.isFailing;
 	}
--- a/test/entry/late-change.test.ts
+++ b/test/entry/late-change.test.ts
@@ -19,6 +19,8 @@
 /** Time within which one peer that responds is found among eight that do not, ms. */
 const MANY_SILENT_MS = 4000;
 const FAILING_RATIO = 0.35;
+/** Longest time where every host responds, ms. */
+const CALM_MS = 1000;
 
 async function createCluster(hosts: number, deadlineMs: number): Promise<ClusterSimulation> {
 	const cluster = new ClusterSimulation(new SeededRandom(1), hosts, ZONES, deadlineMs);
@@ -149,6 +151,18 @@
 	});
 }
 
+test('late change: a reader that reads slowly leaves the reads to another host', async () => {
+	const cluster = await createCluster(30, 3000);
+	const [reader, next] = cluster.getRunningHosts().toSorted((a, b) => a.members.hash - b.members.hash);
+	assert.equal(reader!.isReader, true);
+	cluster.sourceLatencyMs.set(reader!.entry.id, 800);
+	await cluster.clock.advanceAsync(2000, STEP_MS);
+	assert.equal(reader!.isReader, false);
+	assert.equal(next!.isReader, true);
+	const delayMs = await measureChange(cluster, 3000);
+	assert.ok(delayMs <= CALM_MS, `the change was in force after ${delayMs} ms`);
+});
+
 test('late change: a host to which the source does not respond gets a change from the one peer that responds', async () => {
 	const cluster = await createCluster(10, 2000);
 	const [waiting, sound, ...others] = cluster.getRunningHosts();
