--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -10,14 +10,16 @@
 const HOST_ZONES = ['kelowna', 'kelowna', 'vernon'];
 /** Statuses that say that a request has not run and never will. */
 const PROMISES = new Set([408, 421, 429, 503]);
-const ROUNDS = 12;
+const ROUNDS = 14;
 /** Time for which a host stands still, ms; above the header timeout of 3 s. */
 const FREEZE_MS = 3600;
 const TRAFFIC_BEFORE_MS = 700;
 const TRAFFIC_AFTER_MS = 1000;
 /** Clients that connect at once, and the time between two such batches, ms. */
-const BATCH = 8;
+const BATCH = 12;
 const BATCH_GAP_MS = 100;
+/** The time from the last batch to the stop takes this many values, from 0 ms on. */
+const STOP_DELAYS = 4;
 /** Time budget of `crew-booking`. */
 const TIME_BUDGET_MS = 6000;
 /** The clients of vernon, which has one host, are sent to those of kelowna too: 3 ms to the zone and 3 ms between the zones, both ways. */
@@ -77,7 +79,7 @@
 		}
 
 		sendBatch(host);
-		await sleep(1); // eslint-disable-line no-await-in-loop
+		await sleep(round % STOP_DELAYS); // eslint-disable-line no-await-in-loop
 		if (isTroubled) {
 			host.signal('SIGSTOP');
 			recorder.write(`host ${host.id} stands still`);
