--- a/review/6/rig.mjs
+++ b/review/6/rig.mjs
@@ -18,8 +18,6 @@
 /** Longest time that a script may run, ms. */
 const MAX_RUN_MS = 118_000;
 const HEARTBEAT_MS = 1500;
-/** Time that the store takes for an answer, ms. */
-const STORE_ANSWER_MS = 4;
 
 /** Draws a loopback address that nothing else uses. */
 export function drawIp() {
@@ -65,22 +63,34 @@
 	#version = 1;
 	#copy;
 	era = 0;
+	/** Time that it takes for an answer, ms. */
+	answerMs = 4;
 	/** `silent` answers nothing; `busy` answers 503. */
 	mode = 'well';
+	/** Called when the changes of a table have been sent to a host. */
+	onFeed = () => {};
+	#servers = [];
 
 	async start() {
-		this.server = createServer((req, res) => {
-			this.#handle(req, res);
+		this.address = await this.open();
+		return this;
+	}
+
+	/** Opens a further address of the store. @param host passed to `onFeed`. */
+	async open(host) {
+		const server = createServer((req, res) => {
+			this.#handle(req, res, host);
 		});
+		this.#servers.push(server);
 		const ip = drawIp();
-		const port = await listen(this.server, ip);
-		this.address = `${ip}:${port}`;
-		return this;
+		return `${ip}:${await listen(server, ip)}`;
 	}
 
 	stop() {
-		this.server.closeAllConnections();
-		this.server.close();
+		for (const server of this.#servers) {
+			server.closeAllConnections();
+			server.close();
+		}
 	}
 
 	put(table, key, value) {
@@ -117,7 +127,7 @@
 		}
 	}
 
-	async #handle(req, res) {
+	async #handle(req, res, host) {
 		const {pathname, searchParams} = new URL(req.url, 'http://store');
 		let body = '';
 		try {
@@ -132,7 +142,7 @@
 			return;
 		}
 
-		await sleep(STORE_ANSWER_MS);
+		await sleep(this.answerMs);
 		res.setHeader('store-era', String(this.era));
 		if (this.mode === 'busy') {
 			sendJson(res, 503, {});
@@ -155,7 +165,9 @@
 				if (after > this.#version) {
 					sendJson(res, 410, {});
 				} else {
-					sendJson(res, 200, {rows: this.#history.filter(row => row.table === table && row.row_version > after), ...common});
+					const rows = this.#history.filter(row => row.table === table && row.row_version > after);
+					sendJson(res, 200, {rows, ...common});
+					this.onFeed({host, table, rows});
 				}
 
 				break;
@@ -188,7 +200,9 @@
 	coldMs = 0;
 	restartMs = 2000;
 	isDown = false;
-	/** Called as it begins to run a request, or crashes. */
+	/** Part of the requests that it rejects without running them, 0 to 1. */
+	shedRatio = 0;
+	/** Called as a request arrives or begins to run, and as it crashes or starts. */
 	onEvent = () => {};
 	#sockets = new Set();
 	#sequence = 0;
@@ -259,6 +273,17 @@
 		return Math.max(0, this.#coldUntilMs - Date.now());
 	}
 
+	/** Leaves without having reported it: its entry is removed, and it serves on for a while. */
+	leave(serveOnMs) {
+		clearInterval(this.#beat);
+		this.store.remove('servers', this.id);
+		const timer = setTimeout(() => {
+			this.server.closeAllConnections();
+			this.server.close();
+		}, serveOnMs);
+		this.#timers.add(timer);
+	}
+
 	/** Ends as a killed process does, and starts again under its id after a while. */
 	crash(why) {
 		if (this.isDown) {
@@ -310,6 +335,13 @@
 			return;
 		}
 
+		this.onEvent('arrival', this, {id: requestId, atMs});
+		if (Math.random() < this.shedRatio) {
+			res.writeHead(503, {'request-id': requestId, 'not-executed': '1', 'server-load': `1,0,${this.slots}`, 'content-length': 0});
+			res.end();
+			return;
+		}
+
 		const run = {
 			id: requestId, url: req.url, from: req.socket.remoteAddress, atMs, isCold: this.remainingColdMs > 0,
 		};
@@ -378,7 +410,7 @@
 			fault_tolerance: {machines: 1, zones: 1, regions: 1},
 			bounds,
 			platform: {
-				addr: store.address,
+				addr: this.storeAddress ?? store.address,
 				form: 'table',
 				writes_per_s: 400,
 				reads_per_s: 2000,
@@ -521,12 +553,12 @@
 export const CONTACT_MS = 3000;
 
 /** A configuration in the platform's format. @param routes rows of name, prefix, kind, service, and optionally the timeout. */
-export function createConfig(version, routes, services, {warmup = '3s', warmupPerSecond = 5.1, maxAttempts = 2} = {}) {
+export function createConfig(version, routes, services, {warmup = '3s', warmupPerSecond = 5.1, maxAttempts = 2, hasAffinity = false} = {}) {
 	return {
 		version: `r${version}`,
 		routes: {
 			columns: ['name', 'host', 'path_prefix', 'kind', 'timeout', 'target_latency', 'priority', 'service', 'max_attempts', 'session_affinity'],
-			rows: routes.map(([name, prefix, kind, service, timeout = '1200ms']) => [name, 'a.example', prefix, kind, timeout, '600ms', 1, service, maxAttempts, false]),
+			rows: routes.map(([name, prefix, kind, service, timeout = '1200ms']) => [name, 'a.example', prefix, kind, timeout, '600ms', 1, service, maxAttempts, hasAffinity]),
 		},
 		services: {
 			columns: ['name', 'health_path', 'max_conns', 'warmup', 'warmup_per_s'],
