--- a/review/6/rig.mjs
+++ b/review/6/rig.mjs
@@ -14,9 +14,25 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 
+/** Host processes that this script has started and that have not ended. */
+const children = new Set();
+
+process.on('exit', () => {
+	for (const child of children) {
+		child.kill('SIGKILL');
+	}
+});
+// Exit code 1 says that the rule was broken, and is Node's own for an exception.
+for (const event of ['uncaughtException', 'unhandledRejection', 'SIGTERM', 'SIGINT', 'SIGHUP']) {
+	process.on(event, reason => {
+		console.error(reason);
+		process.exit(2);
+	});
+}
+
 const root = fileURLToPath(new URL('../..', import.meta.url));
 /** Longest time that a script may run, ms. */
-const MAX_RUN_MS = 118_000;
+const MAX_RUN_MS = 115_000;
 const HEARTBEAT_MS = 1500;
 
 /** Draws a loopback address that nothing else uses. */
@@ -442,8 +458,12 @@
 			appendFileSync(path.join(this.deployment.folder, `${this.id}.log`), chunk);
 		});
 		this.#child = child;
+		children.add(child);
 		this.exited = new Promise(resolve => {
-			child.once('exit', resolve);
+			child.once('exit', () => {
+				children.delete(child);
+				resolve();
+			});
 		});
 	}
 
@@ -627,10 +647,6 @@
 	let code = 2;
 	const watchdog = setTimeout(() => {
 		recorder.write('the case took too long');
-		for (const host of deployment?.hosts ?? []) {
-			host.signal('SIGKILL');
-		}
-
 		process.exit(2); // eslint-disable-line unicorn/no-process-exit
 	}, MAX_RUN_MS);
 	try {
@@ -645,7 +661,7 @@
 		recorder.write(isBroken ? 'verdict: the rule was broken' : 'verdict: the rule held');
 		code = isBroken ? 1 : 0;
 	} catch (error) {
-		recorder.write(`could not run: ${error.stack}`);
+		recorder.write(`could not run: ${error.message}`);
 	}
 
 	if (deployment) {
--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -96,6 +96,10 @@
 
 	await Promise.all(pending);
 	await sleep(1000);
+	if (runs.size === 0) {
+		throw new Error('no booking was run');
+	}
+
 	const outcomes = {};
 	let broken = 0;
 	for (const [id, {status, error, host, sentAtMs, atMs}] of answers) {
--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -29,10 +29,12 @@
 	const removedMs = new Map();
 	const late = [];
 	let created = 0;
+	let served = 0;
 	const start = async () => {
 		const worker = await addWorker(deployment, {id: `w-${created++}`, service: 'lookup', zone: Object.keys(ZONES)[created % 2]});
 		worker.workMs = 30;
 		worker.onEvent = (event, {id}, detail) => {
+			served += event === 'run' ? 1 : 0;
 			const afterMs = Date.now() - (removedMs.get(id) ?? Infinity);
 			if (event === 'run' && afterMs > DRAIN_MS) {
 				late.push({worker: id, request: detail.id, afterMs});
@@ -118,6 +120,10 @@
 
 	isOver = true;
 	await Promise.all(callers);
+	if (served === 0) {
+		throw new Error('no request was run');
+	}
+
 	const counted = late.filter(({isCounted}) => isCounted);
 	for (const {worker, request, afterMs} of counted.slice(0, 20)) {
 		recorder.write(`worker ${worker} runs request ${request} ${afterMs} ms after the removal of its entry`);
--- a/review/9/run.mjs
+++ b/review/9/run.mjs
@@ -104,6 +104,10 @@
 
 	await Promise.all(traffic);
 	recorder.write(`requests: ${requestsMs.length}; repeats at workers: ${repeatsMs.length}; answers: ${JSON.stringify(statuses)}`);
+	if (repeatsMs.length === 0) {
+		throw new Error('no request was repeated');
+	}
+
 	const {repeats, requests, allowed} = findWorst(requestsMs, repeatsMs);
 	recorder.write(`worst window of ${WINDOW_MS} ms: ${repeats} repeats; allowed: ${allowed.toFixed(1)} (${BOUNDS.budget_ratio} of ${requests} requests and ${BOUNDS.budget_extra})`);
 	return repeats > allowed;
