--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -2,7 +2,19 @@
 export {
 	AttemptBudget, HEDGE_BUDGET, RETRY_BUDGET, type AttemptBudgetOptions,
 } from './budget.js';
+export {BodyBuffer} from './intake/body-buffer.js';
+export {ClientErrorStatus, answerClientErrors, formatEmptyAnswer} from './intake/client-error-responder.js';
+export {ConnectionGuard, type GuardLimits, type GuardListener} from './intake/connection-guard.js';
+export {Intake, type IntakeDeps} from './intake/intake.js';
+export {
+	EvictionReason, IntakeAccount, type BodyHolding, type PeerConnection, type RequestHolding,
+} from './intake/intake-account.js';
+export {
+	DEFAULT_INTAKE_SHARES, DEFAULT_PROCESS_RESOURCES, computeIntakeLimits, type IntakeLimits, type IntakeShares, type ProcessResources,
+} from './intake/intake-limits.js';
+export {BodyFlow, ReadPacer} from './intake/body-flow.js';
 export {HeldBytes, LongBody} from './long-body.js';
+export {resetSocket} from './intake/reset-socket.js';
 export {QuantileEstimator} from './quantile.js';
 export {WaitQueue, WaitResult, type WaitQueueOptions} from './queue.js';
 export {WorkerEvent, WorkerLifecycle, WorkerPhase} from './lifecycle.js';
--- /dev/null
+++ b/packages/admission/src/intake/connection-guard.ts
@@ -0,0 +1,292 @@
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import process from 'node:process';
+import type {Socket} from 'node:net';
+import type {Clock} from '@apricotwood/clock';
+import {EvictionReason, type IntakeAccount, type PeerConnection, type RequestHolding} from './intake-account.js';
+
+/** Interval at which connections are looked at, ms. */
+const SWEEP_INTERVAL_MS = 250;
+/** Requests of one connection that are served at a time; the next ones wait, and no more are read. */
+const MAX_PIPELINED_REQUESTS = 16;
+/** Bytes that the kernel may hold of a connection in one direction, while this process or the peer does not read. */
+const KERNEL_BYTES = 512 * 1024;
+/** Memory of the chunks of one read that wait with their request, bytes. */
+const WAITING_CHUNKS_BYTES = 8 * 1024 * 1024;
+/** Bytes that may have been read of a head, beside those that the parser allows: empty lines, and what one read brings. */
+const HEAD_SLACK_BYTES = 128 * 1024;
+/** Time for which a peer may send on after its request was answered, ms; until then its answer is not lost by a reset. */
+const LINGER_MS = 5000;
+/** Bytes that a peer may send on after its request was answered, if the caller's limits name no more. */
+const MIN_LINGER_BYTES = 1024 * 1024;
+
+/** What a guarded listener allows its peers. */
+export type GuardLimits = {
+	/** Largest request head, bytes. */
+	readonly maxHeadBytes: number;
+	/** Largest request body, bytes. */
+	readonly maxBodyBytes: number;
+	/** Time for which a response may wait for the peer to take some of it, ms. */
+	readonly untakenTimeoutMs: number;
+};
+
+/** Receives what a guard decides. */
+export type GuardListener = {
+	/** Called when a connection is closed. */
+	readonly onClose: (reason: EvictionReason, listener: string) => void;
+	/** Called at each sweep. */
+	readonly onSweep: () => void;
+	/** Closes a connection without sending what is buffered. */
+	readonly reset: (socket: Socket) => void;
+};
+
+type GuardedSocket = {
+	readonly socket: Socket;
+	readonly limits: () => GuardLimits;
+	readonly connection: PeerConnection;
+	/** Bytes that had been read when the last request ended. */
+	idleFromBytes: number;
+	/** Bytes that had been read when the head of the last request had arrived. */
+	bodyFromBytes: number;
+	/** Bytes that the peer had taken at the last sweep, and since when it takes none, monotonic ms. */
+	takenBytes: number;
+	takenAtMs: number;
+	isPaused: boolean;
+	/** Let the requests be served that wait for others on the connection. */
+	readonly turns: Array<() => void>;
+	/** Last request whose head has arrived. */
+	lastReq: IncomingMessage | undefined;
+	/** Called when no request is in flight any more. */
+	onAnswered: (() => void) | undefined;
+	/** What may still be read of a connection that was answered before all of its request had arrived. */
+	linger: Linger | undefined;
+};
+
+type Linger = {
+	/** The request that was answered; `undefined` if there was none. */
+	readonly req: IncomingMessage | undefined;
+	/** Monotonic ms. */
+	readonly untilMs: number;
+	readonly maxReadBytes: number;
+};
+
+/** Dependencies of a `ConnectionGuard`. */
+export type ConnectionGuardDeps = {
+	readonly clock: Clock;
+	readonly account: IntakeAccount;
+	readonly events: GuardListener;
+};
+
+/**
+ * Watches the connections of HTTP servers, whatever phase they are in, and closes those
+ * that the account picks. The account decides; this class reads sockets and closes them.
+ */
+export class ConnectionGuard {
+	readonly #sockets = new Map<Socket, GuardedSocket>();
+	readonly #holdings = new WeakMap<IncomingMessage, RequestHolding>();
+	#isSweepDue = false;
+
+	constructor(private readonly deps: ConnectionGuardDeps) {}
+
+	/** Guards all connections of a server. @param listener name of the listener for logs. @param limits returns what is allowed at the moment. */
+	attach(server: Server, listener: string, limits: () => GuardLimits): void {
+		server.prependListener('connection', (socket: Socket) => {
+			this.#open(socket, listener, limits);
+		});
+		server.prependListener('request', (req: IncomingMessage, res: ServerResponse) => {
+			this.#begin(req, res);
+		});
+	}
+
+	/** Returns what a request holds; `undefined` if its connection has given way. */
+	find(req: IncomingMessage): RequestHolding | undefined {
+		return this.#holdings.get(req);
+	}
+
+	/** Calls back when the responses to all whole requests of a connection have been handed over to the network; at once if there are none, or if the last request has arrived in part. */
+	whenAnswered(socket: Socket, callback: () => void): void {
+		const guarded = this.#sockets.get(socket);
+		if (guarded && guarded.connection.requestCount > 0 && guarded.lastReq?.complete) {
+			guarded.onAnswered = callback;
+		} else {
+			callback();
+		}
+	}
+
+	/** Bounds what is still read of a connection whose last answer is being sent. */
+	linger(socket: Socket): void {
+		const guarded = this.#sockets.get(socket);
+		if (guarded) {
+			this.#beginLinger(guarded, undefined);
+		}
+	}
+
+	#open(socket: Socket, listener: string, limits: () => GuardLimits): void {
+		const connection = this.deps.account.open(reason => {
+			this.deps.events.onClose(reason, listener);
+			this.deps.events.reset(socket);
+		});
+		const guarded: GuardedSocket = {
+			socket, limits, connection, idleFromBytes: 0, bodyFromBytes: 0, takenBytes: 0, takenAtMs: 0, isPaused: false, turns: [], lastReq: undefined, onAnswered: undefined, linger: undefined,
+		};
+		this.#sockets.set(socket, guarded);
+		socket.once('close', () => {
+			connection.close();
+			this.#sockets.delete(socket);
+		});
+		this.#scheduleSweep();
+	}
+
+	#begin(req: IncomingMessage, res: ServerResponse): void {
+		const guarded = this.#sockets.get(req.socket);
+		if (!guarded || guarded.connection.isClosed) {
+			return;
+		}
+
+		const holding = guarded.connection.begin(hasBody(req));
+		if (guarded.connection.isClosed) {
+			return;
+		}
+
+		this.#holdings.set(req, holding);
+		guarded.lastReq = req;
+		guarded.bodyFromBytes = guarded.socket.bytesRead;
+		res.once('finish', () => {
+			if (!req.complete) {
+				this.#beginLinger(guarded, req);
+			}
+		});
+		res.once('close', () => {
+			holding.release();
+			if (!guarded.connection.isClosed) {
+				guarded.turns.shift()?.();
+			}
+
+			this.#resume(guarded);
+		});
+		if (guarded.connection.requestCount > MAX_PIPELINED_REQUESTS) {
+			this.#pause(guarded);
+			this.#makeWait(guarded, req, holding);
+		}
+	}
+
+	#makeWait({turns}: GuardedSocket, {headers}: IncomingMessage, holding: RequestHolding): void {
+		if (headers['transfer-encoding'] !== undefined) {
+			holding.hold(WAITING_CHUNKS_BYTES);
+		}
+
+		holding.turn = new Promise(resolve => {
+			turns.push(resolve);
+		});
+	}
+
+	/** Reads no more requests. What was read together with the last one is still parsed, and so resumes the socket, up to the next tick. */
+	#pause(guarded: GuardedSocket): void {
+		if (!guarded.isPaused) {
+			guarded.isPaused = true;
+			guarded.connection.setUnread(KERNEL_BYTES);
+			process.nextTick(() => {
+				if (guarded.isPaused) {
+					guarded.socket.pause();
+				}
+			});
+		}
+	}
+
+	#resume(guarded: GuardedSocket): void {
+		if (guarded.connection.requestCount === 0) {
+			guarded.idleFromBytes = guarded.socket.bytesRead;
+			guarded.onAnswered?.();
+			guarded.onAnswered = undefined;
+		}
+
+		if (guarded.isPaused && guarded.connection.requestCount <= MAX_PIPELINED_REQUESTS) {
+			guarded.isPaused = false;
+			guarded.connection.setUnread(0);
+			guarded.socket.resume();
+		}
+	}
+
+	#beginLinger(guarded: GuardedSocket, req: IncomingMessage | undefined): void {
+		const {socket, limits} = guarded;
+		guarded.linger = {
+			req, untilMs: this.deps.clock.monotonic() + LINGER_MS, maxReadBytes: socket.bytesRead + Math.max(MIN_LINGER_BYTES, limits().maxBodyBytes),
+		};
+	}
+
+	#scheduleSweep(): void {
+		if (!this.#isSweepDue && this.#sockets.size > 0) {
+			this.#isSweepDue = true;
+			this.deps.clock.after(SWEEP_INTERVAL_MS, this.#sweep);
+		}
+	}
+
+	readonly #sweep = () => {
+		const {clock, events} = this.deps;
+		const nowMs = clock.monotonic();
+		for (const guarded of this.#sockets.values()) {
+			this.#check(guarded, nowMs);
+		}
+
+		events.onSweep();
+		this.#isSweepDue = false;
+		this.#scheduleSweep();
+	};
+
+	#check(guarded: GuardedSocket, nowMs: number): void {
+		const {connection} = guarded;
+		this.#countBody(guarded);
+		const reason = this.#checkResponses(guarded, nowMs) ?? this.#checkHead(guarded) ?? this.#checkLinger(guarded, nowMs);
+		if (reason) {
+			connection.evict(reason);
+		}
+	}
+
+	/** Counts a body that is read by a part which does not count itself. */
+	#countBody({socket, lastReq, bodyFromBytes}: GuardedSocket): void {
+		if (lastReq && !lastReq.complete) {
+			this.#holdings.get(lastReq)?.setUncounted(socket.bytesRead - bodyFromBytes);
+		}
+	}
+
+	#checkResponses(guarded: GuardedSocket, nowMs: number): EvictionReason | undefined {
+		const {socket: {bytesWritten, writableLength}, connection, limits} = guarded;
+		connection.setUntaken(writableLength === 0 ? 0 : writableLength + KERNEL_BYTES);
+		const takenBytes = bytesWritten - writableLength;
+		if (writableLength === 0 || takenBytes !== guarded.takenBytes) {
+			guarded.takenBytes = takenBytes;
+			guarded.takenAtMs = nowMs;
+		}
+
+		return nowMs - guarded.takenAtMs > limits().untakenTimeoutMs ? EvictionReason.UntakenResponse : undefined;
+	}
+
+	#checkHead({socket, connection, idleFromBytes, limits}: GuardedSocket): EvictionReason | undefined {
+		if (connection.requestCount > 0) {
+			return undefined;
+		}
+
+		const {maxHeadBytes} = limits();
+		const headBytes = socket.bytesRead - idleFromBytes;
+		connection.setHead(Math.min(headBytes, maxHeadBytes));
+		return headBytes > maxHeadBytes + HEAD_SLACK_BYTES ? EvictionReason.EndlessHead : undefined;
+	}
+
+	#checkLinger(guarded: GuardedSocket, nowMs: number): EvictionReason | undefined {
+		const {linger, socket} = guarded;
+		if (!linger) {
+			return undefined;
+		}
+
+		if (linger.req?.complete) {
+			guarded.linger = undefined;
+			return undefined;
+		}
+
+		return nowMs > linger.untilMs || socket.bytesRead > linger.maxReadBytes ? EvictionReason.EndlessBody : undefined;
+	}
+}
+
+/** Whether the head of a request announces a body. */
+function hasBody({headers}: IncomingMessage): boolean {
+	return headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
+}
