--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -6,16 +6,15 @@
 import type {RequestMetadata} from '../dialect.js';
 import {ExchangeEnd, type ExchangeResult} from '../upstream/exchange.js';
 import {AttemptSender, UNSENT_ENDS} from './attempt.js';
-import {
-	BodyReadResult, hasBody, readBody, type RequestBody,
-} from './body.js';
+import {BodyReadResult, type RequestBody} from './body.js';
+import {BodyReceiver} from './body-receiver.js';
 import {CallerConnection} from './caller-connection.js';
 import {createQuarantineRejection, type GuardedRequest} from './crash-guard.js';
 import {RequestFingerprint} from './fingerprint.js';
 import {REACHED_WORKER_HEADER} from './headers.js';
 import {PlacementWaiter} from './placement-waiter.js';
 import {
-	RejectionCode, createEvictionRejection, createLateBodyRejection, createUnknownOutcomeRejection, type Rejection,
+	RejectionCode, createEvictionRejection, createUnknownOutcomeRejection, type Rejection,
 } from './rejection.js';
 import {ANSWERED_CODE, logRequestEnd, type EndedRequest} from './request-log.js';
 import {computeTiming, type RequestTiming} from './request-timing.js';
@@ -39,12 +38,11 @@
 	readonly #writer: ResponseWriter;
 	readonly #waiter: PlacementWaiter;
 	readonly #rejections: SessionRejections;
+	readonly #bodyReceiver: BodyReceiver;
 	#sender: AttemptSender | undefined;
 	#fingerprint: RequestFingerprint | undefined;
 	/** Why the request was stopped before it had a response. */
 	#stopReason: Rejection | undefined;
-	/** Aborted when the body is waited for no longer. */
-	readonly #bodyStop = new AbortController();
 	#isCut = false;
 	#isFinished = false;
 
@@ -64,6 +62,7 @@
 		this.#writer = new ResponseWriter(res, deps.isLeaving, holding);
 		this.#timing = computeTiming(deps, route, metadata);
 		const {startAtMs, deadlineAtMs, targetAtMs, isCallerRetry} = this.#timing;
+		this.#bodyReceiver = new BodyReceiver(deps, req, holding, deadlineAtMs);
 		this.#rejections = new SessionRejections(deps, {route, metadata, startAtMs});
 		const randomKey = Math.floor(random.next() * (2 ** 32));
 		this.#service = trafficSplitter.chooseService(route, metadata.object, random.next());
@@ -92,8 +91,7 @@
 			return !this.res.headersSent;
 		};
 
-		const body = hasBody(this.req) ? await this.#readBody() : undefined;
-		const rejection = this.#checkBody(body);
+		const {body, rejection} = await this.#bodyReceiver.receive();
 		if (rejection) {
 			this.#finish(rejection);
 			return;
@@ -111,31 +109,6 @@
 		}
 	}
 
-	/** Reads the body, at the latest until the deadline of the request. */
-	async #readBody(): Promise<RequestBody> {
-		const {clock, maxBodyBytes, heldBytes, pacer} = this.deps;
-		const timer = clock.after(Math.max(1, this.#remainingMs), () => {
-			this.#stop(createLateBodyRejection());
-		});
-		const body = await readBody(this.req, {
-			maxBytes: maxBodyBytes(), held: heldBytes, holding: this.holding, pacer, signal: this.#bodyStop.signal,
-		});
-		timer.cancel();
-		return body;
-	}
-
-	#checkBody(body: RequestBody | undefined): Rejection | undefined {
-		if (body?.result === BodyReadResult.TooLong) {
-			return {code: RejectionCode.BodyTooLong, status: 413, message: `request body exceeds the limit of ${this.deps.maxBodyBytes()} bytes`};
-		}
-
-		if (body?.result === BodyReadResult.Stopped) {
-			return this.#stopReason;
-		}
-
-		return body?.result === BodyReadResult.Broken ? {code: RejectionCode.BodyBroken, status: 400, message: 'request body ended before it was complete'} : undefined;
-	}
-
 	/** Serves the request unless it is known to crash workers. @returns as `#tryWorkers`. */
 	async #serve(body: RequestBody | undefined): Promise<Rejection | undefined> {
 		const {crashGuard} = this.deps;
@@ -323,7 +296,7 @@
 	/** Ends the request with a rejection: it waits no longer, and an attempt in progress is cancelled. */
 	#stop(reason: Rejection): void {
 		this.#stopReason = reason;
-		this.#bodyStop.abort();
+		this.#bodyReceiver.stop(reason);
 		this.#waiter.stop();
 		this.#sender?.cancel();
 	}
