fix(entry): no request runs behind a 408, and none that arrived while the host stood still is given one

Cause: the listener wrote its 408 at once, at the first check of timeouts after the pause, before it had read what lay in the socket; the request that was read next was served as any other.

Change: on a timeout the host first reads what has arrived; if a request is among it, it is served. After the last answer of a connection (400, 408, 431) no request on it is served, at the daemon as well.

--- a/packages/admission/src/intake/client-error-responder.ts
+++ b/packages/admission/src/intake/client-error-responder.ts
@@ -1,5 +1,6 @@
 import type {Server} from 'node:http';
 import type {Socket} from 'node:net';
+import {readPendingInput} from '@apricotwood/clock';
 import type {ConnectionGuard} from './connection-guard.js';
 
 /** Status line of the answer to what is no request. */
@@ -9,10 +10,12 @@
 	HeaderTooLong = '431 Request Header Fields Too Large',
 }
 
+/** Error code of the server's check of how long a request takes to arrive. */
+const TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 /** Status by error code, for errors of the HTTP parser and of the server's timeout check; any other error is a bad request. */
 const STATUSES: Readonly<Record<string, ClientErrorStatus>> = {
 	HPE_HEADER_OVERFLOW: ClientErrorStatus.HeaderTooLong,
-	ERR_HTTP_REQUEST_TIMEOUT: ClientErrorStatus.Timeout,
+	[TIMEOUT_CODE]: ClientErrorStatus.Timeout,
 };
 
 /** How a listener answers what is no request. */
@@ -43,6 +46,15 @@
 		}
 
 		failed.add(socket);
+		void answer(socket, error);
+	});
+
+	const answer = async (socket: Socket, error: NodeJS.ErrnoException) => {
+		if (error.code === TIMEOUT_CODE && await hasRequestArrived(socket, guard)) {
+			failed.delete(socket);
+			return;
+		}
+
 		onError(error);
 		guard.whenAnswered(socket, () => {
 			if (error.code === 'ECONNRESET' || !socket.writable) {
@@ -50,8 +62,15 @@
 				return;
 			}
 
-			guard.linger(socket);
+			guard.end(socket);
 			socket.end(format(STATUSES[error.code ?? ''] ?? ClientErrorStatus.BadRequest, error));
 		});
-	});
+	};
+}
+
+/** Whether a request had arrived in time that this process, which lags or has stood still, reads only after its timeout. */
+async function hasRequestArrived(socket: Socket, guard: ConnectionGuard): Promise<boolean> {
+	const lastReq = guard.findLastRequest(socket);
+	await readPendingInput();
+	return guard.findLastRequest(socket) !== lastReq;
 }
--- a/packages/admission/src/intake/connection-guard.ts
+++ b/packages/admission/src/intake/connection-guard.ts
@@ -55,6 +55,8 @@
 	readonly turns: Array<() => void>;
 	/** Last request whose head has arrived. */
 	lastReq: IncomingMessage | undefined;
+	/** Whether the last answer of the connection is being sent: what still arrives is dropped, also whole requests. */
+	isOver: boolean;
 	/** Called when no request is in flight any more. */
 	onAnswered: (() => void) | undefined;
 	/** What may still be read of a connection that was answered before all of its request had arrived. */
@@ -97,11 +99,16 @@
 		});
 	}
 
-	/** Returns what a request holds; `undefined` if its connection has given way. */
-	find(req: IncomingMessage): RequestHolding | undefined {
+	/** Returns what a request holds; `undefined` if its connection has given way, or has had its last answer: the request is not to be served. */
+	findHolding(req: IncomingMessage): RequestHolding | undefined {
 		return this.#holdings.get(req);
 	}
 
+	/** Returns the last request whose head has arrived on a connection; `undefined` if there was none. */
+	findLastRequest(socket: Socket): IncomingMessage | undefined {
+		return this.#sockets.get(socket)?.lastReq;
+	}
+
 	/** Calls back when the responses to all whole requests of a connection have been handed over to the network; at once if there are none, or if the last request has arrived in part. */
 	whenAnswered(socket: Socket, callback: () => void): void {
 		const guarded = this.#sockets.get(socket);
@@ -112,10 +119,11 @@
 		}
 	}
 
-	/** Bounds what is still read of a connection whose last answer is being sent. */
-	linger(socket: Socket): void {
+	/** Tells that the last answer of a connection is being sent: no request that follows is served, and what is still read is bounded. */
+	end(socket: Socket): void {
 		const guarded = this.#sockets.get(socket);
 		if (guarded) {
+			guarded.isOver = true;
 			this.#beginLinger(guarded, undefined);
 		}
 	}
@@ -126,7 +134,7 @@
 			this.deps.events.reset(socket);
 		});
 		const guarded: GuardedSocket = {
-			socket, limits, connection, idleFromBytes: 0, bodyFromBytes: 0, takenBytes: 0, takenAtMs: 0, isPaused: false, turns: [], lastReq: undefined, onAnswered: undefined, linger: undefined,
+			socket, limits, connection, idleFromBytes: 0, bodyFromBytes: 0, takenBytes: 0, takenAtMs: 0, isPaused: false, turns: [], lastReq: undefined, isOver: false, onAnswered: undefined, linger: undefined,
 		};
 		this.#sockets.set(socket, guarded);
 		socket.once('close', () => {
@@ -138,7 +146,7 @@
 
 	#begin(req: IncomingMessage, res: ServerResponse): void {
 		const guarded = this.#sockets.get(req.socket);
-		if (!guarded || guarded.connection.isClosed) {
+		if (!guarded || guarded.isOver || guarded.connection.isClosed) {
 			return;
 		}
 
--- a/packages/daemon/src/request/body.ts
+++ b/packages/daemon/src/request/body.ts
@@ -37,7 +37,7 @@
 
 	return new Promise(resolve => {
 		const buffer = new BodyBuffer();
-		const holding = guard.find(req);
+		const holding = guard.findHolding(req);
 		holding?.beginBody();
 		const finish = (result: BodyResult) => {
 			req.off('data', onData).off('end', onEnd).off('error', onTruncated).off('close', onTruncated);
--- a/packages/daemon/src/request/dispatcher.ts
+++ b/packages/daemon/src/request/dispatcher.ts
@@ -195,7 +195,7 @@
 
 	#createLongBody({req}: RequestContext): LongBody {
 		const {pacer, guard} = this.deps.intake;
-		return new LongBody(new BodyFlow(req, pacer), {maxBytes: Number.POSITIVE_INFINITY, held: this.#held, holding: guard.find(req)});
+		return new LongBody(new BodyFlow(req, pacer), {maxBytes: Number.POSITIVE_INFINITY, held: this.#held, holding: guard.findHolding(req)});
 	}
 
 	async #deduplicateAndPlace(ctx: RequestContext, body: Buffer | LongBody | undefined, needsDeduplication: boolean, cancellation: Cancellation): Promise<void> {
--- a/packages/daemon/src/request/stall-detector.ts
+++ b/packages/daemon/src/request/stall-detector.ts
@@ -26,7 +26,7 @@
 			req, onStall, body, bytes: req.socket.bytesRead, lastProgressMs: this.clock.monotonic(),
 		};
 		this.#watched.add(entry);
-		const holding = this.guard.find(req);
+		const holding = this.guard.findHolding(req);
 		const stop = () => {
 			this.#watched.delete(entry);
 			if (holding) {
--- a/packages/daemon/src/server/operator.ts
+++ b/packages/daemon/src/server/operator.ts
@@ -83,7 +83,7 @@
 	 * A patch against an older version sets status 409 and returns the versions accepted since.
 	 */
 	async commitPatch(req: IncomingMessage, res: ServerResponse, operator: string): Promise<unknown> {
-		const patch = parsePatch(await readJsonBody(req, this.options.guard.find(req)));
+		const patch = parsePatch(await readJsonBody(req, this.options.guard.findHolding(req)));
 		const commit = await this.options.book.commit(patch, operator);
 		if (commit.outcome === CommitOutcome.Stale) {
 			this.options.log.info({
--- a/packages/daemon/src/server/server.ts
+++ b/packages/daemon/src/server/server.ts
@@ -57,7 +57,13 @@
 	addPublicRoutes(app, deps);
 	addOperatorRoutes(app, deps.operator);
 	addPeerRoutes(app, deps);
-	server.on('request', app.handler as unknown as (req: IncomingMessage, res: ServerResponse) => void);
+	const handle = app.handler as unknown as (req: IncomingMessage, res: ServerResponse) => void;
+	server.on('request', (req: IncomingMessage, res: ServerResponse) => {
+		// A request on a connection that has had its last answer must not run.
+		if (deps.intake.guard.findHolding(req)) {
+			handle(req, res);
+		}
+	});
 	server.prependListener('request', (_req: IncomingMessage, res: ServerResponse) => {
 		res.shouldKeepAlive &&= !deps.lifecycle.isStopping;
 	});
--- a/packages/entry/src/request/ingress.ts
+++ b/packages/entry/src/request/ingress.ts
@@ -128,7 +128,7 @@
 	}
 
 	async #handle(req: IncomingMessage, res: ServerResponse, isForwarded: boolean): Promise<void> {
-		const holding = this.intake.guard.find(req);
+		const holding = this.intake.guard.findHolding(req);
 		if (!holding) {
 			// The connection has been closed.
 			return;
--- a/test/entry/misbehaving-callers.test.ts
+++ b/test/entry/misbehaving-callers.test.ts
@@ -9,6 +9,8 @@
 
 const IDLE_TIMEOUT_MS = 1500;
 const MAX_BODY_BYTES = 2_000_000;
+/** Longer than the header timeout and the interval at which it is checked. */
+const STANDSTILL_MS = 4500;
 const store = new FakeStore();
 const worker = new RawWorker((socket, _request, head) => {
 	socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${/request-id: (\S+)/i.exec(head)?.[1]}\r\nServer-Signature: s\r\nContent-Length: 2\r\n\r\nok`);
@@ -161,6 +163,35 @@
 	await waitUntil('the connection is closed', () => caller.isClosed);
 });
 
+test('a request whose head is completed after its 408 does not run', async () => {
+	const caller = new RawCaller();
+	const before = worker.requestHeads.length;
+	caller.socket.write('POST /book/x HTTP/1.1\r\nHost: a.example\r\n');
+	assert.deepEqual(await caller.waitForStatuses(1), [408]);
+	caller.socket.write('Request-Id: late\r\nContent-Length: 0\r\n\r\n');
+	await delay(200);
+	assert.equal(worker.requestHeads.length, before);
+	assert.deepEqual(caller.statuses, [408]);
+	caller.socket.destroy();
+});
+
+// REFUSED (issue 57, review/6): the timeout was charged for a time in which the host read nothing, and the request ran after its 408.
+test('a request that has arrived while the host stood still is served', async () => {
+	const caller = new RawCaller();
+	const before = host.host.intake.account.connectionCount;
+	caller.socket.write('POST /book/x HTTP/1.1\r\nHost: a.example\r\n');
+	await waitUntil('the host knows the caller', () => host.host.intake.account.connectionCount > before);
+	await delay(100);
+	caller.socket.write('Request-Id: pause\r\nContent-Length: 0\r\n\r\n');
+	const endMs = performance.now() + STANDSTILL_MS;
+	while (performance.now() < endMs) {
+		// Nothing else runs.
+	}
+
+	assert.deepEqual(await caller.waitForStatuses(1), [200]);
+	caller.socket.destroy();
+});
+
 test('nothing is held once the callers have left', async () => {
 	await waitUntil('all is given back', () => host.host.intake.account.heldBytes === 0 && host.host.intake.account.connectionCount === 0);
 });
