fix(admission): what peers send in one turn of the event loop cannot exceed the heap

Cause: a read brings some 1,400 such requests, each of some 3.5 KB; what belongs to a connection that gave way is freed only at the end of the turn, and one turn reads all connections that are ready. Requests that are answered at once never counted as many in flight.

Change: at most 16 requests of a connection are begun in a turn; when a turn has seen 10,000 chunks or 1,000 requests, sockets of connections that were not served before, or that pipeline, wait for the next turn.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -14,6 +14,7 @@
 } from './intake/intake-limits.js';
 export {BodyFlow, ReadPacer} from './intake/body-flow.js';
 export {HeldBytes, LongBody, type LongBodyOptions} from './intake/long-body.js';
+export {TurnBudget} from './intake/turn-budget.js';
 export {resetSocket} from './intake/reset-socket.js';
 export {QuantileEstimator} from './quantile.js';
 export {WaitQueue, WaitResult, type WaitQueueOptions} from './queue.js';
--- a/packages/admission/src/intake/body-flow.ts
+++ b/packages/admission/src/intake/body-flow.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 import process from 'node:process';
 import type {Clock} from '@apricotwood/clock';
+import type {TurnBudget} from './turn-budget.js';
 
 /** Chunks of all bodies that a process reads in a second; reading one takes some microseconds, whatever its size. */
 const CHUNKS_PER_SECOND = 100_000;
@@ -20,12 +21,13 @@
 	readonly #waiting = new Set<() => void>();
 	#isTimerSet = false;
 
-	constructor(private readonly clock: Clock) {
+	constructor(private readonly clock: Clock, private readonly turnBudget: TurnBudget) {
 		this.#creditAtMs = clock.monotonic();
 	}
 
 	/** Counts a chunk that was read. @returns whether a body of many chunks may be read on at once. */
 	take(): boolean {
+		this.turnBudget.spend(1);
 		this.#credit--;
 		return this.#credit > 0 || this.#refill() > 0;
 	}
--- a/packages/admission/src/intake/connection-guard.ts
+++ b/packages/admission/src/intake/connection-guard.ts
@@ -2,11 +2,12 @@
 import process from 'node:process';
 import type {Socket} from 'node:net';
 import type {Clock} from '@apricotwood/clock';
+import {REQUEST_CHUNKS, type TurnBudget} from './turn-budget.js';
 import {EvictionReason, type IntakeAccount, type PeerConnection, type RequestHolding} from './intake-account.js';
 
 /** Interval at which connections are looked at, ms. */
 const SWEEP_INTERVAL_MS = 250;
-/** Requests of one connection that are served at a time; the next ones wait, and no more are read. */
+/** Requests of one connection that are served at a time, and that are begun in one turn of the event loop; the next ones wait, and no more are read. */
 const MAX_PIPELINED_REQUESTS = 16;
 /** Bytes that the kernel may hold of a connection in one direction, while this process or the peer does not read. */
 const KERNEL_BYTES = 512 * 1024;
@@ -53,6 +54,12 @@
 	isPaused: boolean;
 	/** Let the requests be served that wait for others on the connection. */
 	readonly turns: Array<() => void>;
+	isTurnDue: boolean;
+	/** Bytes that had been read when the last request began, and the number of requests that were in that read. */
+	readAtBytes: number;
+	requestsOfRead: number;
+	/** Whether a read has brought more requests than are served at a time. */
+	hasPipelined: boolean;
 	/** Last request whose head has arrived. */
 	lastReq: IncomingMessage | undefined;
 	/** Whether the last answer of the connection is being sent: what still arrives is dropped, also whole requests. */
@@ -76,6 +83,7 @@
 	readonly clock: Clock;
 	readonly account: IntakeAccount;
 	readonly events: GuardListener;
+	readonly turnBudget: TurnBudget;
 };
 
 /**
@@ -86,8 +94,18 @@
 	readonly #sockets = new Map<Socket, GuardedSocket>();
 	readonly #holdings = new WeakMap<IncomingMessage, RequestHolding>();
 	#isSweepDue = false;
+	/** Sockets that are not read in this turn of the event loop, as its budget is spent. */
+	#postponed: Socket[] = [];
 
-	constructor(private readonly deps: ConnectionGuardDeps) {}
+	constructor(private readonly deps: ConnectionGuardDeps) {
+		deps.turnBudget.onSpent = () => {
+			this.#postponeReads();
+		};
+
+		deps.turnBudget.onRenewed = () => {
+			this.#resumeReads();
+		};
+	}
 
 	/** Guards all connections of a server. @param listener name of the listener for logs. @param limits returns what is allowed at the moment. */
 	attach(server: Server, listener: string, limits: () => GuardLimits): void {
@@ -134,7 +152,7 @@
 			this.deps.events.reset(socket);
 		});
 		const guarded: GuardedSocket = {
-			socket, limits, connection, idleFromBytes: 0, bodyFromBytes: 0, takenBytes: 0, takenAtMs: 0, isPaused: false, turns: [], lastReq: undefined, isOver: false, onAnswered: undefined, linger: undefined,
+			socket, limits, connection, idleFromBytes: 0, bodyFromBytes: 0, takenBytes: 0, takenAtMs: 0, isPaused: false, turns: [], isTurnDue: false, readAtBytes: 0, requestsOfRead: 0, hasPipelined: false, lastReq: undefined, isOver: false, onAnswered: undefined, linger: undefined,
 		};
 		this.#sockets.set(socket, guarded);
 		socket.once('close', () => {
@@ -156,6 +174,7 @@
 		}
 
 		this.#holdings.set(req, holding);
+		this.deps.turnBudget.spend(REQUEST_CHUNKS);
 		guarded.lastReq = req;
 		guarded.bodyFromBytes = guarded.socket.bytesRead;
 		res.once('finish', () => {
@@ -165,15 +184,13 @@
 		});
 		res.once('close', () => {
 			holding.release();
-			if (!guarded.connection.isClosed) {
-				guarded.turns.shift()?.();
-			}
-
+			this.#scheduleTurns(guarded);
 			this.#resume(guarded);
 		});
-		if (guarded.connection.requestCount > MAX_PIPELINED_REQUESTS) {
+		if (mustWait(guarded)) {
 			this.#pause(guarded);
 			this.#makeWait(guarded, req, holding);
+			this.#scheduleTurns(guarded);
 		}
 	}
 
@@ -187,6 +204,44 @@
 		});
 	}
 
+	/** Postpones what the other connections bring to the next turn; those that were served before and have sent one request at a time are still read. */
+	#postponeReads(): void {
+		for (const {socket, connection, hasPipelined} of this.#sockets.values()) {
+			const isProven = connection.hasServed && !hasPipelined;
+			if (!isProven && !socket.isPaused()) {
+				socket.pause();
+				this.#postponed.push(socket);
+			}
+		}
+	}
+
+	#resumeReads(): void {
+		const postponed = this.#postponed;
+		this.#postponed = [];
+		for (const socket of postponed) {
+			socket.resume();
+		}
+	}
+
+	/** Lets the next requests of a connection be served in the next turn of the event loop. */
+	#scheduleTurns(guarded: GuardedSocket): void {
+		const {turns, connection} = guarded;
+		if (guarded.isTurnDue || turns.length === 0) {
+			return;
+		}
+
+		guarded.isTurnDue = true;
+		setImmediate(() => {
+			guarded.isTurnDue = false;
+			const served = connection.requestCount - turns.length;
+			if (!connection.isClosed) {
+				for (const turn of turns.splice(0, MAX_PIPELINED_REQUESTS - served)) {
+					turn();
+				}
+			}
+		});
+	}
+
 	/** Reads no more requests. What was read together with the last one is still parsed, and so resumes the socket, up to the next tick. */
 	#pause(guarded: GuardedSocket): void {
 		if (!guarded.isPaused) {
@@ -207,7 +262,7 @@
 			guarded.onAnswered = undefined;
 		}
 
-		if (guarded.isPaused && guarded.connection.requestCount <= MAX_PIPELINED_REQUESTS) {
+		if (guarded.isPaused && guarded.turns.length === 0) {
 			guarded.isPaused = false;
 			guarded.connection.setUnread(0);
 			guarded.socket.resume();
@@ -294,6 +349,15 @@
 	}
 }
 
+/** Counts the request that begins, and returns whether it has to wait for others of its connection. */
+function mustWait(guarded: GuardedSocket): boolean {
+	const {socket: {bytesRead}, connection, turns} = guarded;
+	guarded.requestsOfRead = guarded.readAtBytes === bytesRead ? guarded.requestsOfRead + 1 : 1;
+	guarded.readAtBytes = bytesRead;
+	guarded.hasPipelined ||= guarded.requestsOfRead > MAX_PIPELINED_REQUESTS;
+	return turns.length > 0 || connection.requestCount > MAX_PIPELINED_REQUESTS || guarded.requestsOfRead > MAX_PIPELINED_REQUESTS;
+}
+
 /** Whether the head of a request announces a body. */
 function hasBody({headers}: IncomingMessage): boolean {
 	return headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
--- a/packages/admission/src/intake/intake-account.ts
+++ b/packages/admission/src/intake/intake-account.ts
@@ -141,6 +141,11 @@
 		return this.#heldBytes;
 	}
 
+	/** Whether a request of the connection has been answered. */
+	get hasServed(): boolean {
+		return this.#hasServed;
+	}
+
 	/** Whether the connection does not count any more. */
 	get isClosed(): boolean {
 		return this.#isClosed;
--- a/packages/admission/src/intake/intake.ts
+++ b/packages/admission/src/intake/intake.ts
@@ -8,6 +8,7 @@
 import {
 	DEFAULT_PROCESS_RESOURCES, computeIntakeLimits, type IntakeShares, type ProcessResources,
 } from './intake-limits.js';
+import {TurnBudget} from './turn-budget.js';
 import {resetSocket} from './reset-socket.js';
 
 /** Interval of the log lines that sum up what was closed, ms. */
@@ -42,11 +43,13 @@
 
 	constructor(private readonly deps: IntakeDeps) {
 		const {clock, resources = DEFAULT_PROCESS_RESOURCES, intakeShares} = deps;
-		this.pacer = new ReadPacer(clock);
+		const turnBudget = new TurnBudget();
+		this.pacer = new ReadPacer(clock, turnBudget);
 		this.account = new IntakeAccount(clock, computeIntakeLimits(resources, intakeShares));
 		this.guard = new ConnectionGuard({
 			clock,
 			account: this.account,
+			turnBudget,
 			events: {
 				onClose: (reason, listener) => {
 					this.#recordClose(reason, listener);
--- a/packages/soak/src/fault-injection.ts
+++ b/packages/soak/src/fault-injection.ts
@@ -1,6 +1,7 @@
 import {setTimeout as pause} from 'node:timers/promises';
 import {SeededRandom, type Random} from '@apricotwood/clock';
 import {FakeStoreMode, WorkerFault} from '@apricotwood/platform/standin';
+import {CROWD_VARIANTS, openCrowd} from './crowds.js';
 import type {HostProcess} from './host.js';
 import {ODD_WRITERS} from './odd-entries.js';
 import {FaultKind, type Fault} from './plan.js';
@@ -31,6 +32,8 @@
 const MS_PER_SECOND = 1000;
 /** Variants of `FaultKind.HostIsolated` from which a whole zone is cut off, from 0 to 1. */
 const WHOLE_ZONE_FROM = 2 / 3;
+/** Path that crowds send their bodies to. */
+const CROWD_ROUTE = '/load/crowd';
 /** Longest time until what a restored store has lost is written again, ms. */
 const MAX_REWRITE_DELAY_MS = 1500;
 
@@ -97,6 +100,8 @@
 	[FaultKind.WorkerGone]: async (environment, fault) => withdrawWorker(environment, fault, 'gone', endpoint => {
 		endpoint.unregister();
 	}),
+	// No disturbance is recorded: ordinary callers are owed what they are owed without the crowd.
+	[FaultKind.Crowd]: async (environment, fault) => openCrowd(selectHost(environment, fault).address, CROWD_ROUTE, pick(CROWD_VARIANTS, fault.how), fault.forMs),
 	[FaultKind.HostIsolated]: isolateHosts,
 	async [FaultKind.CrashingRequest](environment, fault) {
 		const request = environment.recordCrashingRequest();
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -60,6 +60,8 @@
 	ConfigChange = 'config-change',
 	/** An availability zone is evacuated. */
 	Evacuation = 'evacuation',
+	/** Clients that do not behave open connections to a host: bodies, heads and empty lines without an end, answers that are not read. */
+	Crowd = 'crowd',
 }
 
 /** One scheduled fault. */
@@ -77,8 +79,10 @@
 
 /** Groups of kinds that were added later. Each is drawn after all before it, so that a seed still gives the faults that it gave before. */
 const LATER_KINDS = [[FaultKind.StoreRestore, FaultKind.WorkerEndless], [FaultKind.WorkerLimit], [FaultKind.CrashingRequest], [FaultKind.HostIsolated], [FaultKind.WorkerLeaving, FaultKind.WorkerBackoff], [FaultKind.WorkerRepeats, FaultKind.WorkerCutsHeads, FaultKind.OddEntry, FaultKind.HostStopLongCalls]];
+/** Kinds that are drawn last, for the same reason. */
+const LAST_KINDS = [FaultKind.Crowd];
 /** Kinds to choose from; a repeated kind is chosen more often. Worker faults have the highest weight because they have the most variants. */
-const WEIGHTED_KINDS = [...Object.values(FaultKind).filter(kind => kind !== FaultKind.HostStopsInTurn && !LATER_KINDS.flat().includes(kind)), FaultKind.WorkerFails, FaultKind.WorkerFails, FaultKind.WorkerDrain, FaultKind.WorkerGone, FaultKind.ConfigChange];
+const WEIGHTED_KINDS = [...Object.values(FaultKind).filter(kind => kind !== FaultKind.HostStopsInTurn && ![...LATER_KINDS.flat(), ...LAST_KINDS].includes(kind)), FaultKind.WorkerFails, FaultKind.WorkerFails, FaultKind.WorkerDrain, FaultKind.WorkerGone, FaultKind.ConfigChange];
 /** Mean time between the starts of consecutive faults, ms. */
 const MEAN_GAP_MS = 600;
 /** The same for a group of kinds that was added later, ms. */
@@ -109,8 +113,7 @@
 		faults.push(...drawFaults(random, durationMs, laterKinds, LATER_MEAN_GAP_MS));
 	}
 
-	faults.push(...drawFaults(random, durationMs, [FaultKind.HostStopsInTurn], IN_TURN_MEAN_GAP_MS));
-
+	faults.push(...drawFaults(random, durationMs, [FaultKind.HostStopsInTurn], IN_TURN_MEAN_GAP_MS), ...drawFaults(random, durationMs, LAST_KINDS, LATER_MEAN_GAP_MS));
 	return faults.toSorted((a, b) => a.atMs - b.atMs);
 }
 
--- a/test/entry/large-uploads.test.ts
+++ b/test/entry/large-uploads.test.ts
@@ -9,7 +9,7 @@
 } from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	BodyFlow, HeldBytes, LongBody, ReadPacer,
+	BodyFlow, HeldBytes, LongBody, ReadPacer, TurnBudget,
 } from '@apricotwood/admission';
 import {SystemClock} from '@apricotwood/clock';
 import {resetSocket} from '@apricotwood/entry';
@@ -191,7 +191,7 @@
 test('while the worker does not read, a bounded part of an upload is held, and the departure of its client is seen', async () => {
 	const long = await receiveUpload(30 * MIB);
 	const held = new HeldBytes();
-	const pacer = new ReadPacer(new SystemClock());
+	const pacer = new ReadPacer(new SystemClock(), new TurnBudget());
 	const longBody = new LongBody(new BodyFlow(long.req, pacer), {maxBytes: 64 * MIB, held, holding: undefined});
 	await delay(DEPARTURE_MS);
 	assert.ok(held.total >= MIB && held.total < 1.5 * MIB, `${held.total}`);
