fix(admission): the rest of a body behind an early answer is not taken for a head

What callers saw: a worker may answer before it has read a long body; 128 KiB later the host reset the connection ("endless-head"), which may lose the answer.

Cause: no request was in flight any more, so what arrived counted as the head of the next one.

Change: while an answered request is still arriving, the bounds of what follows an answer count. Postponed sockets are read on with the newest first. One hasBody for both edges.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -12,7 +12,7 @@
 export {
 	DEFAULT_INTAKE_SHARES, DEFAULT_PROCESS_RESOURCES, computeIntakeLimits, type IntakeLimits, type IntakeShares, type ProcessResources,
 } from './intake/intake-limits.js';
-export {BodyFlow, ReadPacer} from './intake/body-flow.js';
+export {BodyFlow, ReadPacer, hasBody} from './intake/body-flow.js';
 export {HeldBytes, LongBody, type LongBodyOptions} from './intake/long-body.js';
 export {TurnBudget} from './intake/turn-budget.js';
 export {resetSocket} from './intake/reset-socket.js';
--- a/packages/admission/src/intake/body-flow.ts
+++ b/packages/admission/src/intake/body-flow.ts
@@ -13,6 +13,11 @@
 const RELEASE_INTERVAL_MS = 10;
 const MS_PER_SECOND = 1000;
 
+/** Whether the head of a request announces a body. */
+export function hasBody({headers}: IncomingMessage): boolean {
+	return headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
+}
+
 /** Shares the turns of the event loop among bodies that come in many small chunks. */
 export class ReadPacer {
 	#credit = MAX_CHUNK_CREDIT;
--- a/packages/admission/src/intake/connection-guard.ts
+++ b/packages/admission/src/intake/connection-guard.ts
@@ -2,8 +2,11 @@
 import process from 'node:process';
 import type {Socket} from 'node:net';
 import type {Clock} from '@apricotwood/clock';
+import {hasBody} from './body-flow.js';
+import {
+	EvictionReason, type IntakeAccount, type PeerConnection, type RequestHolding,
+} from './intake-account.js';
 import {REQUEST_CHUNKS, type TurnBudget} from './turn-budget.js';
-import {EvictionReason, type IntakeAccount, type PeerConnection, type RequestHolding} from './intake-account.js';
 
 /** Interval at which connections are looked at, ms. */
 const SWEEP_INTERVAL_MS = 250;
@@ -215,8 +218,9 @@
 		}
 	}
 
+	/** The newest first: they are polled in this order, and the oldest have had most turns. */
 	#resumeReads(): void {
-		const postponed = this.#postponed;
+		const postponed = this.#postponed.toReversed();
 		this.#postponed = [];
 		for (const socket of postponed) {
 			socket.resume();
@@ -323,8 +327,9 @@
 		return nowMs - guarded.takenAtMs > limits().untakenTimeoutMs ? EvictionReason.UntakenResponse : undefined;
 	}
 
-	#checkHead({socket, connection, idleFromBytes, limits}: GuardedSocket): EvictionReason | undefined {
-		if (connection.requestCount > 0) {
+	#checkHead({socket, connection, idleFromBytes, limits, linger}: GuardedSocket): EvictionReason | undefined {
+		// While it lingers, what arrives is the rest of a body.
+		if (connection.requestCount > 0 || linger?.req) {
 			return undefined;
 		}
 
@@ -342,6 +347,7 @@
 
 		if (linger.req?.complete) {
 			guarded.linger = undefined;
+			guarded.idleFromBytes = socket.bytesRead;
 			return undefined;
 		}
 
@@ -357,8 +363,3 @@
 	guarded.hasPipelined ||= guarded.requestsOfRead > MAX_PIPELINED_REQUESTS;
 	return turns.length > 0 || connection.requestCount > MAX_PIPELINED_REQUESTS || guarded.requestsOfRead > MAX_PIPELINED_REQUESTS;
 }
-
-/** Whether the head of a request announces a body. */
-function hasBody({headers}: IncomingMessage): boolean {
-	return headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
-}
--- a/packages/daemon/src/request/body.ts
+++ b/packages/daemon/src/request/body.ts
@@ -1,6 +1,8 @@
 import type {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
-import {BodyBuffer, BodyFlow, type Intake} from '@apricotwood/admission';
+import {
+	BodyBuffer, BodyFlow, hasBody, type Intake,
+} from '@apricotwood/admission';
 
 /** Result of reading a request body into memory. */
 export enum BodyResult {
@@ -15,12 +17,6 @@
 /** Result of {@link readBody}; `body` is `undefined` if the request has no body or reading failed. */
 export type BodyReadResult = {readonly result: BodyResult; readonly body: Buffer | undefined};
 
-/** Whether the framing headers of a request announce a body. */
-export function hasBody(req: IncomingMessage): boolean {
-	const length = req.headers['content-length'];
-	return req.headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0');
-}
-
 /**
  * Reads a complete request body of at most `maxBytes` into memory.
  * @param intake counts what the body holds, until its request ends.
--- a/packages/daemon/src/request/dispatcher.ts
+++ b/packages/daemon/src/request/dispatcher.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {
-	BodyFlow, HeldBytes, LongBody, type Intake,
+	BodyFlow, HeldBytes, LongBody, hasBody, type Intake,
 } from '@apricotwood/admission';
 import {RepeatPolicy, TOTAL_DEMAND_GROUP, memberDemandGroup, serviceDemandGroup} from '@apricotwood/agreement';
 import {readPendingInput, type Clock} from '@apricotwood/clock';
@@ -12,7 +12,7 @@
 import type {HostLifecycle} from '../host/phase.js';
 import type {Admission} from './admission.js';
 import {sendStoredResponse} from './response.js';
-import {BodyResult, hasBody, readBody, type BodyReadResult} from './body.js';
+import {BodyResult, readBody, type BodyReadResult} from './body.js';
 import {Cancellation} from './cancellation.js';
 import {
 	RejectionCode, rejectRetryable, rejectStopping, rejectUnknown, rejectNotRun, type Rejection,
--- a/packages/entry/src/request/body-receiver.ts
+++ b/packages/entry/src/request/body-receiver.ts
@@ -1,8 +1,6 @@
 import type {IncomingMessage} from 'node:http';
-import type {RequestHolding} from '@apricotwood/admission';
-import {
-	BodyReadResult, hasBody, readBody, type RequestBody,
-} from './body.js';
+import {hasBody, type RequestHolding} from '@apricotwood/admission';
+import {BodyReadResult, readBody, type RequestBody} from './body.js';
 import {RejectionCode, createLateBodyRejection, type Rejection} from './rejection.js';
 import type {SessionDeps} from './session-deps.js';
 
--- a/packages/entry/src/request/body.ts
+++ b/packages/entry/src/request/body.ts
@@ -45,11 +45,6 @@
 const MAX_BUFFERED_BODY_BYTES = 1024 * 1024;
 const NO_BYTES = Buffer.alloc(0);
 
-/** Returns whether a request's headers announce a body. */
-export function hasBody({headers}: IncomingMessage): boolean {
-	return headers['transfer-encoding'] !== undefined || (headers['content-length'] ?? '0') !== '0';
-}
-
 /** Reads a body up to the buffer limit. */
 export async function readBody(req: IncomingMessage, {maxBytes, held, holding, pacer, signal}: BodyReadOptions): Promise<RequestBody> {
 	const length = Number(req.headers['content-length'] ?? 0);
