fix(entry): callers whose bodies stall do not make a host distrust a worker

Cause: a body beyond 1 MiB is sent on while it arrives. At the deadline the attempt timed out, and the worker, which had waited for the caller's bytes, was taken for unreachable.

Change: a timeout of an attempt whose caller has not sent the whole body says nothing of the worker.

Evidence: entry/misbehaving-callers, "callers whose large bodies stall ...", fails without this change (503) and holds with it.

--- a/packages/entry/src/request/attempt-outcome.ts
+++ b/packages/entry/src/request/attempt-outcome.ts
@@ -28,6 +28,8 @@
 	readonly networkMs: number;
 	/** Whether this host cancelled it at the deadline. */
 	readonly hasTimedOut: boolean;
+	/** Whether the caller has not sent its whole body: the worker is not what the attempt waited for. */
+	readonly isBodyMissing: boolean;
 };
 
 /** Whether the connection ended without a response. */
@@ -38,7 +40,7 @@
 /** Records what an attempt shows: the worker's health and reported load, service times, learned cache capacity, and mismatched responses in the pool. */
 export function recordOutcome(deps: SessionDeps, req: AttemptedRequest, attempt: EndedAttempt): void {
 	const {workerHealth, load, pool, clock, reachability, crashDetector} = deps;
-	const {worker, result, hasTimedOut} = attempt;
+	const {worker, result, hasTimedOut, isBodyMissing} = attempt;
 	const {registration: {id, address}, hash} = worker;
 	const nowMs = clock.monotonic();
 	if (result.head) {
@@ -93,7 +95,7 @@
 				crashDetector.recordCancelled(worker, req.guarded.fingerprint.value, req.deadlineAtMs);
 			}
 
-			if (hasTimedOut) {
+			if (hasTimedOut && !isBodyMissing) {
 				workerHealth.recordAttempt(hash, AttemptOutcome.Unreachable, nowMs);
 			}
 
--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -118,7 +118,7 @@
 		// One round trip for the request, and one more to connect unless the connection was reused.
 		const networkMs = roundTrips.get(region) * (connection.requestCount > 1 ? 1 : 2);
 		recordOutcome(this.deps, this.request, {
-			worker, placement, result, durationMs: record.ms!, networkMs, hasTimedOut: record.end === TIMEOUT_END,
+			worker, placement, result, durationMs: record.ms!, networkMs, hasTimedOut: record.end === TIMEOUT_END, isBodyMissing: this.request.body?.rest !== undefined && !this.request.req.complete,
 		});
 		this.#hasReachedWorker ||= !UNSENT_ENDS.has(result.end);
 		this.#brokenAttempts += Number(hasBrokenConnection(result));
--- a/test/entry/misbehaving-callers.test.ts
+++ b/test/entry/misbehaving-callers.test.ts
@@ -13,6 +13,10 @@
 const STANDSTILL_MS = 4500;
 const store = new FakeStore();
 const worker = new RawWorker((socket, _request, head) => {
+	if (head.startsWith('POST /stall/')) {
+		return;
+	}
+
 	socket.write(`HTTP/1.1 200 OK\r\nRequest-Id: ${/request-id: (\S+)/i.exec(head)?.[1]}\r\nServer-Signature: s\r\nContent-Length: 2\r\n\r\nok`);
 });
 let host: TestEntryHost;
@@ -24,7 +28,7 @@
 	ip = '127.0.0.71';
 	await store.start();
 	await worker.start();
-	const config = createOperatorConfig(2, ['board'], [['slow', 'a.example', '/slow/', 'upload', '20s', '20s', 0, 'board', 2, false, [], null]]);
+	const config = createOperatorConfig(2, ['board'], [['slow', 'a.example', '/slow/', 'upload', '20s', '20s', 0, 'board', 2, false, [], null], ['stall', 'a.example', '/stall/', 'upload', '800ms', '800ms', 0, 'board', 2, false, [], null]]);
 	store.putConfig({...config, limits: {...config.limits, max_body_bytes: MAX_BODY_BYTES, idle_timeout: `${IDLE_TIMEOUT_MS}ms`}});
 	store.putWorker(worker.id, worker.entry);
 	host = new TestEntryHost(ip, ports, store.address);
@@ -102,6 +106,39 @@
 	slow.socket.destroy();
 });
 
+test('callers whose large bodies stall do not make the host distrust the worker', async () => {
+	const stalled = Array.from({length: 3}, () => new RawCaller());
+	for (const caller of stalled) {
+		caller.sendHead(`Content-Length: ${MAX_BODY_BYTES}`, '/stall/x');
+		caller.socket.write(Buffer.alloc(MAX_BODY_BYTES - 100, 'x'));
+	}
+
+	for (const caller of stalled) {
+		assert.deepEqual(await caller.waitForStatuses(1), [504]);
+		caller.socket.destroy();
+	}
+
+	const caller = new RawCaller();
+	caller.sendHead('Content-Length: 0');
+	assert.deepEqual(await caller.waitForStatuses(1), [200]);
+	caller.socket.destroy();
+});
+
+test('a large body that goes on after an early answer is read to its end, and the connection is used again', async () => {
+	const caller = new RawCaller();
+	caller.sendHead(`Content-Length: ${MAX_BODY_BYTES}`, '/slow/x');
+	caller.socket.write(Buffer.alloc(100_000, 'x'));
+	assert.deepEqual(await caller.waitForStatuses(1), [200]);
+	for (let sent = 100_000; sent < MAX_BODY_BYTES; sent += 100_000) {
+		caller.socket.write(Buffer.alloc(100_000, 'x'));
+		await delay(60);
+	}
+
+	caller.sendHead('Content-Length: 0');
+	assert.deepEqual(await caller.waitForStatuses(2), [200, 200]);
+	caller.socket.destroy();
+});
+
 for (const [name, framing, path, status] of [
 	['a body that is too long', 'Content-Length: 900000000', '/load/x', 413],
 	['a head that is too long', `X-Long: ${'x'.repeat(10_000)}`, '/load/x', 431],
