fix(entry): a call between hosts that brings a body is not read

Cause: the library was told a largest body of 0, which it takes for none, and read bodies into its own buffers; the guard counts those only every 250 ms.

Change: hosts only query; a call with a body gets 413 and is not handed over.

--- a/packages/entry/src/peer/peer-server.ts
+++ b/packages/entry/src/peer/peer-server.ts
@@ -1,5 +1,5 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import type {GuardLimits, Intake} from '@apricotwood/admission';
+import {hasBody, type GuardLimits, type Intake} from '@apricotwood/admission';
 import {createHTTPHandler} from '@trpc/server/adapters/standalone';
 import type {HostEntry} from '../source.js';
 import type {ReplicatedState} from '../state/replicated-state.js';
@@ -28,15 +28,18 @@
 
 /** Serves the other hosts on the peer port (TCP) until the signal is aborted: catch-up requests, and requests of callers that they pass on. Rejects if the port cannot be bound. */
 export async function servePeers(state: ReplicatedState, {ip, peerPort}: HostEntry, {intake, limits, onForwardedRequest}: PeerServerDeps, signal: AbortSignal): Promise<void> {
-	// Other hosts only query; a call with a body is dropped with its connection.
-	const handleCatchUp = createHTTPHandler({router: createCatchUpRouter(state), maxBodySize: 0});
+	const handleCatchUp = createHTTPHandler({router: createCatchUpRouter(state)});
 	const server = createServer({
 		requestTimeout: 0, headersTimeout: HEADERS_TIMEOUT_MS, keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
 	}, (req, res) => {
-		if (req.headers[FORWARDED_HEADER] === undefined) {
-			handleCatchUp(req, res);
-		} else {
+		if (req.headers[FORWARDED_HEADER] !== undefined) {
 			onForwardedRequest(req, res);
+		} else if (hasBody(req)) {
+			// Other hosts only query.
+			res.statusCode = 413;
+			res.end();
+		} else {
+			handleCatchUp(req, res);
 		}
 	});
 	const getLimits = () => {
