refactor(daemon): the body of an operator's call is read by readBody

The operators' interface had a loop of its own beside it. By the shared one it is also paced where it comes in many small chunks. The limit, the answers and their messages stay.

--- a/packages/daemon/src/host/components.ts
+++ b/packages/daemon/src/host/components.ts
@@ -199,7 +199,7 @@
 			ledger,
 			lookup,
 			log,
-			guard: intake.guard,
+			intake,
 			pushVersion: async record => gossip.pushVersion(record),
 			getOwnStatus: () => hooks.ownStatus(),
 		}),
--- a/packages/daemon/src/server/operator.ts
+++ b/packages/daemon/src/server/operator.ts
@@ -1,6 +1,5 @@
-import type {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import {BodyBuffer, type BodyHolding, type ConnectionGuard} from '@apricotwood/admission';
+import type {Intake} from '@apricotwood/admission';
 import {parsePatch} from '@apricotwood/agreement';
 import {FindingsError} from '@apricotwood/findings';
 import {PlatformError} from '@apricotwood/store';
@@ -11,6 +10,7 @@
 import {holderOf} from '../host/identity.js';
 import {type HostPhase} from '../host/phase.js';
 import type {Lookup} from '../lookup/lookup.js';
+import {BodyResult, readBody} from '../request/body.js';
 import {matchesKeyHash} from '../request/request-reader.js';
 import type {Settings} from '../settings/schema.js';
 import {sendJson} from './json.js';
@@ -28,7 +28,7 @@
 	readonly ledger: LedgerAgent;
 	readonly lookup: Lookup;
 	readonly log: Log;
-	readonly guard: ConnectionGuard;
+	readonly intake: Intake;
 	/** Pushes an accepted version to peers and resolves to the number of peers that accepted it. */
 	readonly pushVersion: (record: VersionRecord) => Promise<number>;
 	/** This host's id, phase, agreement version and the keys of its pending resources. */
@@ -83,7 +83,7 @@
 	 * A patch against an older version sets status 409 and returns the versions accepted since.
 	 */
 	async commitPatch(req: IncomingMessage, res: ServerResponse, operator: string): Promise<unknown> {
-		const patch = parsePatch(await readJsonBody(req, this.options.guard.findHolding(req)));
+		const patch = parsePatch(await readJsonBody(req, this.options.intake));
 		const commit = await this.options.book.commit(patch, operator);
 		if (commit.outcome === CommitOutcome.Stale) {
 			this.options.log.info({
@@ -214,21 +214,15 @@
 	}
 }
 
-async function readJsonBody(req: IncomingMessage, holding: BodyHolding | undefined): Promise<unknown> {
-	const buffer = new BodyBuffer();
-	holding?.beginBody();
-	for await (const chunk of req as AsyncIterable<Buffer>) {
-		buffer.push(chunk);
-		holding?.hold(chunk.length);
-		if (buffer.bytes > MAX_PATCH_BODY_BYTES) {
-			throw new OperatorError(413, `the request body exceeds ${MAX_PATCH_BODY_BYTES} bytes; split the patch`);
-		}
+async function readJsonBody(req: IncomingMessage, intake: Intake): Promise<unknown> {
+	// A body that stops is bounded by the guard of its connection alone.
+	const {result, body} = await readBody(req, MAX_PATCH_BODY_BYTES, intake, new AbortController().signal);
+	if (result === BodyResult.TooLarge) {
+		throw new OperatorError(413, `the request body exceeds ${MAX_PATCH_BODY_BYTES} bytes; split the patch`);
 	}
 
-	holding?.endBody();
-
 	try {
-		return JSON.parse(buffer.takeAll().toString());
+		return JSON.parse(body?.toString() ?? '');
 	} catch (error) {
 		throw new OperatorError(400, `the request body is not valid JSON: ${(error as Error).message}`);
 	}
