--- a/packages/entry/src/request/body-receiver.ts
+++ b/packages/entry/src/request/body-receiver.ts
@@ -16,7 +16,8 @@
 
 /** Receives the body of one request, at the latest until its deadline, or until it is stopped. */
 export class BodyReceiver {
-	readonly #stopped = new AbortController();
+	/** Set while the body is received: most requests have none. */
+	#stopped: AbortController | undefined;
 	#stopReason: Rejection | undefined;
 
 	/** @param deadlineAtMs deadline of the request, monotonic ms. */
@@ -28,6 +29,7 @@
 		}
 
 		const {clock, maxBodyBytes, heldBytes, pacer} = this.deps;
+		this.#stopped = new AbortController();
 		const timer = clock.after(Math.max(1, this.deadlineAtMs - clock.monotonic()), () => {
 			this.stop(createLateBodyRejection());
 		});
@@ -41,7 +43,7 @@
 	/** Waits no longer for the body; has no effect once it was received. */
 	stop(reason: Rejection): void {
 		this.#stopReason ??= reason;
-		this.#stopped.abort();
+		this.#stopped?.abort();
 	}
 
 	#createRejection({result}: RequestBody): Rejection | undefined {
