--- a/packages/admission/src/intake/connection-guard.ts
+++ b/packages/admission/src/intake/connection-guard.ts
@@ -4,14 +4,12 @@
 import type {Clock} from '@apricotwood/clock';
 import {hasBody} from './body-flow.js';
 import {
-	EvictionReason, type IntakeAccount, type PeerConnection, type RequestHolding,
+	EvictionReason, MAX_SERVED_REQUESTS, type IntakeAccount, type PeerConnection, type RequestHolding,
 } from './intake-account.js';
 import {REQUEST_CHUNKS, type TurnBudget} from './turn-budget.js';
 
 /** Interval at which connections are looked at, ms. */
 const SWEEP_INTERVAL_MS = 250;
-/** Requests of one connection that are served at a time, and that are begun in one turn of the event loop; the next ones wait, and no more are read. */
-const MAX_PIPELINED_REQUESTS = 16;
 /** Bytes that the kernel may hold of a connection in one direction, while this process or the peer does not read. */
 const KERNEL_BYTES = 512 * 1024;
 /** Memory of the chunks of one read that wait with their request, bytes. */
@@ -239,7 +237,7 @@
 			guarded.isTurnDue = false;
 			const served = connection.requestCount - turns.length;
 			if (!connection.isClosed) {
-				for (const turn of turns.splice(0, MAX_PIPELINED_REQUESTS - served)) {
+				for (const turn of turns.splice(0, MAX_SERVED_REQUESTS - served)) {
 					turn();
 				}
 			}
@@ -302,7 +300,8 @@
 	#check(guarded: GuardedSocket, nowMs: number): void {
 		const {connection} = guarded;
 		this.#countBody(guarded);
-		const reason = this.#checkResponses(guarded, nowMs) ?? this.#checkHead(guarded) ?? this.#checkLinger(guarded, nowMs);
+		const limits = guarded.limits();
+		const reason = this.#checkResponses(guarded, limits, nowMs) ?? this.#checkHead(guarded, limits) ?? this.#checkLinger(guarded, nowMs);
 		if (reason) {
 			connection.evict(reason);
 		}
@@ -315,8 +314,8 @@
 		}
 	}
 
-	#checkResponses(guarded: GuardedSocket, nowMs: number): EvictionReason | undefined {
-		const {socket: {bytesWritten, writableLength}, connection, limits} = guarded;
+	#checkResponses(guarded: GuardedSocket, {untakenTimeoutMs}: GuardLimits, nowMs: number): EvictionReason | undefined {
+		const {socket: {bytesWritten, writableLength}, connection} = guarded;
 		connection.setUntaken(writableLength === 0 ? 0 : writableLength + KERNEL_BYTES);
 		const takenBytes = bytesWritten - writableLength;
 		if (writableLength === 0 || takenBytes !== guarded.takenBytes) {
@@ -324,16 +323,15 @@
 			guarded.takenAtMs = nowMs;
 		}
 
-		return nowMs - guarded.takenAtMs > limits().untakenTimeoutMs ? EvictionReason.UntakenResponse : undefined;
+		return nowMs - guarded.takenAtMs > untakenTimeoutMs ? EvictionReason.UntakenResponse : undefined;
 	}
 
-	#checkHead({socket, connection, idleFromBytes, limits, linger}: GuardedSocket): EvictionReason | undefined {
+	#checkHead({socket, connection, idleFromBytes, linger}: GuardedSocket, {maxHeadBytes}: GuardLimits): EvictionReason | undefined {
 		// While it lingers, what arrives is the rest of a body.
 		if (connection.requestCount > 0 || linger?.req) {
 			return undefined;
 		}
 
-		const {maxHeadBytes} = limits();
 		const headBytes = socket.bytesRead - idleFromBytes;
 		connection.setHead(Math.min(headBytes, maxHeadBytes));
 		return headBytes > maxHeadBytes + HEAD_SLACK_BYTES ? EvictionReason.EndlessHead : undefined;
@@ -355,11 +353,11 @@
 	}
 }
 
-/** Counts the request that begins, and returns whether it has to wait for others of its connection. */
+/** Counts the request that begins, and returns whether it has to wait for others of its connection: as many are begun in one turn of the event loop as are served at a time. */
 function mustWait(guarded: GuardedSocket): boolean {
 	const {socket: {bytesRead}, connection, turns} = guarded;
 	guarded.requestsOfRead = guarded.readAtBytes === bytesRead ? guarded.requestsOfRead + 1 : 1;
 	guarded.readAtBytes = bytesRead;
-	guarded.hasPipelined ||= guarded.requestsOfRead > MAX_PIPELINED_REQUESTS;
-	return turns.length > 0 || connection.requestCount > MAX_PIPELINED_REQUESTS || guarded.requestsOfRead > MAX_PIPELINED_REQUESTS;
+	guarded.hasPipelined ||= guarded.requestsOfRead > MAX_SERVED_REQUESTS;
+	return turns.length > 0 || connection.requestCount > MAX_SERVED_REQUESTS || guarded.requestsOfRead > MAX_SERVED_REQUESTS;
 }
--- a/packages/admission/src/intake/intake-account.ts
+++ b/packages/admission/src/intake/intake-account.ts
@@ -24,8 +24,8 @@
 const REQUEST_BYTES = 32 * 1024;
 /** Ratio of the limit down to which bytes are freed at once, so that not every further byte asks again. */
 const LOW_WATER_RATIO = 7 / 8;
-/** Most requests of one connection that are answered when it gives way; one with more is closed. */
-const MAX_ANSWERED_REQUESTS = 16;
+/** Requests of one connection that are served at a time; one with more that gives way is closed instead of answered. */
+export const MAX_SERVED_REQUESTS = 16;
 /** Weight of the bytes of a request that has arrived whole: this host, not the peer, is what it waits for. */
 const SERVING_WEIGHT = 1 / 16;
 /** Weight of the age of a connection whose peer has not shown a whole request yet, when connections give way to new ones. */
@@ -117,12 +117,16 @@
 	/** Since when it is idle, or its requests are in flight, monotonic ms. */
 	#sinceMs: number;
 	#heldBytes = 0;
-	/** Bytes that wait for this process to read them. */
-	#unreadBytes = 0;
-	/** Bytes of a head that has not ended. */
-	#headBytes = 0;
-	/** Bytes of responses that the peer has not taken. */
-	#untakenBytes = 0;
+	/** Bytes beside its requests, by part. */
+	readonly #parts = {
+		/** Wait for this process to read them. */
+		unread: 0,
+		/** Belong to a head that has not ended. */
+		head: 0,
+		/** Are of responses that the peer has not taken. */
+		untaken: 0,
+	};
+
 	#hasServed = false;
 	/** Whether its requests were ended for what they held; they hold nothing any more. */
 	#hasGivenWay = false;
@@ -162,7 +166,7 @@
 			return this.#isPeerAwaited ? this.#ageMs * RECEIVING_WEIGHT : 0;
 		}
 
-		return this.#ageMs * (this.#hasServed && this.#headBytes === 0 ? IDLE_WEIGHT : STALLED_WEIGHT);
+		return this.#ageMs * (this.#hasServed && this.#parts.head === 0 ? IDLE_WEIGHT : STALLED_WEIGHT);
 	}
 
 	/** Counts a request whose head has arrived. @param hasBody whether a body has yet to arrive. */
@@ -186,26 +190,17 @@
 
 	/** Sets the bytes that have arrived of the next head. */
 	setHead(bytes: number): void {
-		if (this.#isCounted) {
-			this.#hold(bytes - this.#headBytes);
-			this.#headBytes = bytes;
-		}
+		this.#setPart('head', bytes);
 	}
 
 	/** Sets the bytes that wait for this process to read them. */
 	setUnread(bytes: number): void {
-		if (this.#isCounted) {
-			this.#hold(bytes - this.#unreadBytes);
-			this.#unreadBytes = bytes;
-		}
+		this.#setPart('unread', bytes);
 	}
 
 	/** Sets the bytes of responses that wait for the peer to take them. */
 	setUntaken(bytes: number): void {
-		if (this.#isCounted) {
-			this.#hold(bytes - this.#untakenBytes);
-			this.#untakenBytes = bytes;
-		}
+		this.#setPart('untaken', bytes);
 	}
 
 	/** Makes the connection give way: its requests are ended, and answered if that frees what is needed; otherwise it is closed. */
@@ -243,7 +238,7 @@
 	}
 
 	get #isPeerAwaited(): boolean {
-		if (this.#requests.size === 0 || this.#untakenBytes > 0) {
+		if (this.#requests.size === 0 || this.#parts.untaken > 0) {
 			return true;
 		}
 
@@ -259,13 +254,13 @@
 	/** @returns whether all of them are answered, and nothing is held any more. */
 	#endRequests(reason: EvictionReason): boolean {
 		const {size} = this.#requests;
-		if (this.#hasGivenWay || this.#untakenBytes > 0 || size === 0 || size > MAX_ANSWERED_REQUESTS) {
+		if (this.#hasGivenWay || this.#parts.untaken > 0 || size === 0 || size > MAX_SERVED_REQUESTS) {
 			return false;
 		}
 
 		this.#hold(-this.#heldBytes);
-		this.#headBytes = 0;
-		this.#unreadBytes = 0;
+		this.#parts.head = 0;
+		this.#parts.unread = 0;
 		this.#hasGivenWay = true;
 		return Array.from(this.#requests, request => request.onEvict(reason)).every(Boolean);
 	}
@@ -274,6 +269,13 @@
 		return !this.#isClosed && !this.#hasGivenWay;
 	}
 
+	#setPart(part: 'head' | 'unread' | 'untaken', bytes: number): void {
+		if (this.#isCounted) {
+			this.#hold(bytes - this.#parts[part]);
+			this.#parts[part] = bytes;
+		}
+	}
+
 	#hold(bytes: number): void {
 		if (this.#isCounted && bytes !== 0) {
 			this.#heldBytes += bytes;
