fix(entry): a part of an early response to an upload is not a whole one

Cause: the end of a connection delimits such a response, and Node reports a regular end when a reset arrives with the last bytes. The check for that writes nothing and looks at the error (`wasResetAtEnd`). While a request is being sent, a write of the request gets the error of the reset instead; undici takes the end for the end of the response, destroys the socket because the request is not whole, and the check fails with an error of the stream rather than ECONNRESET or EPIPE, which counted as no reset.

Ruled out: the pieces of the body (a buffer and a stream alike), the version and the Connection header.

Change: an end that comes while request bytes are unsent does not complete a response without a length. Such a response ends the exchange as broken, or cuts one that is being streamed. A worker that ends its side regularly in the middle of an upload cannot be told from that and is refused as well; one that has taken the whole upload is not.

--- a/packages/entry/src/upstream/connection.ts
+++ b/packages/entry/src/upstream/connection.ts
@@ -74,7 +74,7 @@
 		});
 	}
 
-	/** Whether the socket failed with an error, such as a reset: a response that is delimited by the end of the connection is then incomplete. */
+	/** Whether the socket failed with an error, such as a reset, or ended before the request was sent: a response that is delimited by the end of the connection is then incomplete. */
 	get wasReset(): boolean {
 		return this.#wasReset;
 	}
@@ -185,7 +185,9 @@
 		});
 	}
 
+	/** An end that comes while the request is still being sent may be a reset whose error a write of the request gets, which undici then drops together with the rest of the request. */
 	async #checkEnd(socket: Socket): Promise<void> {
+		this.#wasReset ||= socket.writableLength > 0;
 		const wasReset = await wasResetAtEnd(socket);
 		this.#wasReset ||= wasReset;
 	}
--- a/test/entry/cut-responses.test.ts
+++ b/test/entry/cut-responses.test.ts
@@ -1,5 +1,7 @@
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
+import {Readable} from 'node:stream';
 import {test} from 'node:test';
 import {SystemClock} from '@apricotwood/clock';
 import {
@@ -147,3 +149,72 @@
 	connection.close();
 	await worker.stop();
 });
+
+/** Body that does not fit in the buffers of a connection, so that it is still being sent when the response arrives, bytes. */
+const LONG_UPLOAD_BYTES = 8 * 1024 * 1024;
+const UPLOAD_PIECE_BYTES = 64 * 1024;
+const UPLOADS = 20;
+/** Times between the part of an early response and the reset, ms; `undefined` for none at all. */
+const RESET_DELAYS_MS = [undefined, 0, 1, 3];
+
+const UPLOAD_KINDS: ReadonlyArray<{readonly name: string; readonly createBody: () => Buffer | Readable}> = [
+	{name: 'at once', createBody: () => Buffer.alloc(LONG_UPLOAD_BYTES)},
+	{name: 'piece by piece', createBody: () => Readable.from(Array.from({length: LONG_UPLOAD_BYTES / UPLOAD_PIECE_BYTES}, () => Buffer.alloc(UPLOAD_PIECE_BYTES)))},
+];
+
+async function upload(body: Buffer | Readable, respond: (socket: Socket) => void): Promise<ExchangeResult> {
+	const worker = await new RawWorker(socket => {
+		socket.pause();
+		respond(socket);
+	}).start();
+	const connection = new Connection(worker.address);
+	const result = await new Exchange(connection, {
+		method: 'POST', path: '/a/', headers: ['Host', 'a.example', 'Request-Id', 'r1', 'Content-Length', String(LONG_UPLOAD_BYTES)], body, requestId: 'r1',
+	}, new PlatformHeaderCodec(), {start() {}, write: () => true}, new SystemClock()).run();
+	connection.close();
+	await worker.stop();
+	return result;
+}
+
+for (const {name, createBody} of UPLOAD_KINDS) {
+	for (const head of [UNFRAMED_HEAD, HTTP_1_0_HEAD]) {
+		// MIXED: a worker responded to a long upload at once, without a length, and reset the connection while the upload was being sent; the part of the body was taken for the whole.
+		test(`exchange: a part of an early response is not taken for a whole one: an upload ${name}, ${head.slice(0, 8)}`, {timeout: 60_000}, async () => {
+			for (const delayMs of RESET_DELAYS_MS) {
+				const results = await Promise.all(Array.from({length: UPLOADS}, async () => upload(createBody(), socket => {
+					socket.write(`${head}part`);
+					if (delayMs === undefined) {
+						resetSocket(socket);
+					} else {
+						setTimeout(() => {
+							resetSocket(socket);
+						}, delayMs);
+					}
+				})));
+				assert.deepEqual(new Set(results.map(({end, mayHaveRun}) => `${end} ${mayHaveRun}`)), new Set([`${ExchangeEnd.Broken} true`]), `reset after ${delayMs} ms`);
+			}
+		});
+	}
+}
+
+test('exchange: a response without a length to a whole upload is whole', async () => {
+	const worker = await new RawWorker((socket, _request, head) => {
+		const length = Number(/content-length: (\d+)/i.exec(head)![1]);
+		let remaining = length + head.length - socket.bytesRead;
+		const onData = (chunk: Buffer) => {
+			remaining -= chunk.length;
+			if (remaining <= 0) {
+				socket.end(`${UNFRAMED_HEAD}body`);
+			}
+		};
+
+		socket.on('data', onData);
+	}).start();
+	const connection = new Connection(worker.address);
+	const result = await new Exchange(connection, {
+		method: 'POST', path: '/a/', headers: ['Host', 'a.example', 'Request-Id', 'r1', 'Content-Length', String(LONG_UPLOAD_BYTES)], body: Buffer.alloc(LONG_UPLOAD_BYTES), requestId: 'r1',
+	}, new PlatformHeaderCodec(), {start() {}, write: () => true}, new SystemClock()).run();
+	assert.deepEqual([result.end, result.body.toString()], [ExchangeEnd.Answered, 'body']);
+	connection.close();
+	await worker.stop();
+});
