fix(entry): the chunks of a worker's body cost what they contain

What callers saw: with one worker that sent bodies in chunks of one byte, the host that had called it ran out of memory and ended, and so did the requests of all other callers (report of other operators).

Cause: a response of up to 128 KiB is buffered as a list of its chunks. Each costs some hundred bytes beside its content, and keeps the read alive in which it came.

--- a/packages/entry/src/upstream/exchange.ts
+++ b/packages/entry/src/upstream/exchange.ts
@@ -1,5 +1,6 @@
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type {Readable} from 'node:stream';
+import {BodyBuffer} from '@apricotwood/admission';
 import type {Clock, Timer} from '@apricotwood/clock';
 import type {Dispatcher} from 'undici';
 import type {ResponseHeaders, ResponseMetadata, Dialect} from '../dialect.js';
@@ -116,8 +117,8 @@
 	#isMismatched = false;
 	#isStreaming = false;
 	#head: ResponseHead | undefined;
-	#chunks: Buffer[] = [];
-	#bufferedBytes = 0;
+	/** Body that has not been streamed. A worker may send it in chunks of one byte, each of which would cost a hundred times its size. */
+	readonly #buffered = new BodyBuffer();
 	#headTimer: Timer | undefined;
 	#informationalCount = 0;
 	#bodyBytes = 0;
@@ -242,21 +243,19 @@
 
 		this.#bodyBytes += chunk.length;
 		if (!this.#isStreaming) {
-			this.#chunks.push(chunk);
-			this.#bufferedBytes += chunk.length;
-			if (this.#bufferedBytes > MAX_DISCARDED_BYTES && this.#head && !isStreamable(this.#head)) {
+			this.#buffered.push(chunk);
+			if (this.#buffered.bytes > MAX_DISCARDED_BYTES && this.#head && !isStreamable(this.#head)) {
 				this.#fail(`the body of a response that cannot be forwarded exceeds ${MAX_DISCARDED_BYTES} bytes`);
 				return;
 			}
 
-			if (this.#bufferedBytes <= MAX_BUFFERED_RESPONSE_BYTES || !this.#head) {
+			if (this.#buffered.bytes <= MAX_BUFFERED_RESPONSE_BYTES || !this.#head) {
 				return;
 			}
 
 			this.#isStreaming = true;
 			this.sink.start(this.#head);
-			chunk = Buffer.concat(this.#chunks);
-			this.#chunks = [];
+			chunk = this.#buffered.takeAll();
 		}
 
 		const isSinkReady = this.sink.write(chunk, () => {
@@ -342,7 +341,7 @@
 			mayHaveRun: this.#wasSent && !isReportedNotRun,
 			isReusable,
 			head: this.#head,
-			body: Buffer.concat(this.#chunks),
+			body: this.#buffered.takeAll(),
 			message,
 		});
 	}
