fix(entry, daemon): a response whose status is above 599 is no response

Reports of other operators: callers got responses with the status 000, and with a blank or a control character in the name of a header.

Here neither happens: 76 heads, with statuses that are none and with eleven characters at five places of a name, all end the exchange as broken, by assertions and checks of the parser.

Change: such a status is refused like a head that is not valid.

--- a/packages/daemon/src/upstream/attempt.ts
+++ b/packages/daemon/src/upstream/attempt.ts
@@ -5,6 +5,9 @@
 import {RejectionCode} from '../request/rejection.js';
 import {HeaderName, isEndToEnd, readConnectionOptions} from '../request/headers.js';
 
+/** Largest status of a response. The parser passes on any number of three digits. */
+const MAX_STATUS = 599;
+
 /** Request that one attempt sends. */
 export type AttemptRequest = {
 	readonly method: string;
@@ -121,6 +124,11 @@
 			return;
 		}
 
+		if (status > MAX_STATUS) {
+			this.abort(RejectionCode.UpstreamReset);
+			return;
+		}
+
 		if (!isFramed(this.request.method, status, parsedHeaders)) {
 			this.abort(RejectionCode.UpstreamUnframed);
 			return;
--- a/packages/entry/src/upstream/exchange.ts
+++ b/packages/entry/src/upstream/exchange.ts
@@ -86,6 +86,8 @@
 const HEAD_TIMEOUT_MS = 1000;
 /** Number of informational responses (1xx) that may precede a response. */
 const MAX_INFORMATIONAL_RESPONSES = 16;
+/** Largest status of a response. The parser passes on any number of three digits. */
+const MAX_STATUS = 599;
 /** Largest body of a response that cannot reach the caller, in bytes. Such a body is read only so that the connection can be used again. */
 const MAX_DISCARDED_BYTES = 16 * 1024;
 
@@ -217,6 +219,11 @@
 			return;
 		}
 
+		if (status > MAX_STATUS) {
+			this.#fail(`${status} is no status`);
+			return;
+		}
+
 		const metadata = this.dialect.parseResponseHeaders(status, headers);
 		if (!this.#isOwnResponse(metadata.requestId)) {
 			this.#isMismatched = true;
