--- a/test/faults/invalid-responses.test.ts
+++ b/test/faults/invalid-responses.test.ts
@@ -63,3 +63,12 @@
 
 	assert.deepEqual(passedOn, []);
 });
+
+// MIXED: the coding "gzip" does not delimit a body, so that a part of it looked whole when its connection had ended.
+test('daemon: a response whose coding does not delimit its body is not taken for whole', async () => {
+	await recover();
+	respond = socket => socket.end('HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\npart');
+	const {status, body} = await sendToWorker();
+	assert.equal(status, 502, body);
+	assert.match(body, /upstream-unframed/);
+});
