fix(daemon): a load report without end is given up

What an operator would see: a worker whose load report does not end fills the memory of each host that probes it, for the second of a probe.

Cause: the report was read whole before it was looked at.

Evidence: 63 to 72 MB of one report arrived, from a worker in the same process as the host; in chunks of one byte less, as they take longer.

Change: a report is given up at 16 KiB, and its connection closed.

--- a/packages/daemon/src/upstream/attempt.ts
+++ b/packages/daemon/src/upstream/attempt.ts
@@ -202,14 +202,14 @@
 }
 
 /** Whether the end of a response is marked. A response that ends with its connection cannot be distinguished from a truncated one. */
-function isFramed(method: string, status: number, parsedHeaders: Readonly<Record<string, unknown>>): boolean {
+function isFramed(method: string, status: number, parsedHeaders: Readonly<Record<string, string | string[]>>): boolean {
 	return method === 'HEAD' || status === 204 || status === 304
 		|| parsedHeaders['content-length'] !== undefined || isChunked(parsedHeaders['transfer-encoding']);
 }
 
-/** Whether chunks are the last coding of a response, which marks its end; no other coding does. @param coding value or values of the header. */
-function isChunked(coding: unknown): boolean {
-	return /(?:^|,)\s*chunked\s*$/i.test(String(coding ?? ''));
+/** Whether chunks are the last coding of a response, which marks its end; no other coding does. */
+function isChunked(coding: string | string[] = []): boolean {
+	return /(?:^|,)\s*chunked\s*$/i.test(String(coding));
 }
 
 /** Converts a body for undici. */
--- a/packages/daemon/src/upstream/probe.ts
+++ b/packages/daemon/src/upstream/probe.ts
@@ -1,6 +1,9 @@
+import type {Buffer} from 'node:buffer';
+import {BodyBuffer} from '@apricotwood/admission';
 import {
 	jitter, sleep, type Clock, type Random,
 } from '@apricotwood/clock';
+import VError from 'verror';
 import * as z from 'zod';
 import {LeaveReason, type WorkerLink} from './worker-link.js';
 import type {WorkerRegistry} from './worker-registry.js';
@@ -14,6 +17,8 @@
 });
 
 const PROBE_TIMEOUT_MS = 1000;
+/** Largest load report, bytes. */
+const MAX_REPORT_BYTES = 16 * 1024;
 /** Random variation as a fraction of the probe interval. */
 const PROBE_JITTER_FRACTION = 0.3;
 
@@ -44,7 +49,7 @@
 	async #probe(link: WorkerLink): Promise<void> {
 		try {
 			const res = await link.pool.request({method: 'GET', path: this.options.path, signal: AbortSignal.timeout(PROBE_TIMEOUT_MS)});
-			const report = reportSchema.safeParse(await res.body.json());
+			const report = reportSchema.safeParse(await readReport(res.body));
 			if (!report.success) {
 				return;
 			}
@@ -57,3 +62,16 @@
 		} catch {}
 	}
 }
+
+/** Reads a load report. @throws {VError} if it is too large; its connection is closed then. */
+async function readReport(body: AsyncIterable<Buffer>): Promise<unknown> {
+	const report = new BodyBuffer();
+	for await (const chunk of body) {
+		report.push(chunk);
+		if (report.bytes > MAX_REPORT_BYTES) {
+			throw new VError({name: 'ReportError', info: {bytes: report.bytes}}, 'a load report exceeds %d bytes', MAX_REPORT_BYTES);
+		}
+	}
+
+	return JSON.parse(report.takeAll().toString());
+}
