fix(entry): a host that returns gives no removed worker back

Cause: the host that returns reads the store first, takes the missing entry for one that lapsed in an outage and keeps the worker for the grace period.

Change: workers that are kept for the grace period are named as unconfirmed in what hosts tell each other. A host that does not know one does not add it; one that does decides as if it had read of the missing entry itself. The fingerprint counts confirmed workers only. That works whichever of the two reads comes first, and for a host that was cut off as for one that stood still.

--- a/packages/entry/src/source.ts
+++ b/packages/entry/src/source.ts
@@ -22,6 +22,8 @@
 	readonly isWhole: boolean;
 	readonly changed: readonly WorkerRegistration[];
 	readonly removed: readonly string[];
+	/** All workers whose entries are missing from the source, but may be written again; only in updates from peers. */
+	readonly unconfirmed?: readonly string[];
 };
 
 /** Changes to the operators' configuration and zone evacuations, or a full snapshot of them. */
--- a/packages/entry/src/state/replicated-state.ts
+++ b/packages/entry/src/state/replicated-state.ts
@@ -141,8 +141,17 @@
 
 		const nowMs = this.clock.monotonic();
 		const isNewEpoch = this.#isNewEpoch(this.workers, update.revision);
-		const isAfterOutage = !isFromPeer && this.workers.cursor > 0 && nowMs - this.workers.freshAtMs > SOURCE_OUTAGE_MS;
-		if (this.#workerReplica.apply(update, {isNewEpoch, removalDelayMs: isNewEpoch || isAfterOutage ? REWRITE_GRACE_MS : 0, nowMs})) {
+		const isFirst = this.workers.cursor === 0;
+		const isAfterOutage = !isFirst && nowMs - this.workers.freshAtMs > SOURCE_OUTAGE_MS;
+		const hasChanged = this.#workerReplica.apply(update, {
+			isNewEpoch,
+			removalDelayMs: isNewEpoch || (isAfterOutage && !isFromPeer) ? REWRITE_GRACE_MS : 0,
+			// The peer may be alone in not having seen the removal: it may have stood still. This host decides as if it had read of it itself.
+			unconfirmedDelayMs: isNewEpoch || isAfterOutage || isFirst ? REWRITE_GRACE_MS : 0,
+			addsUnconfirmed: isFirst,
+			nowMs,
+		});
+		if (hasChanged) {
 			this.workers.changedRevision = changeRevision;
 			this.#recordDelay(StateChange.Workers, computeMaxDelayMs(this.workers, nowMs));
 		}
--- a/packages/entry/src/state/worker-replica.ts
+++ b/packages/entry/src/state/worker-replica.ts
@@ -28,6 +28,10 @@
 	readonly isNewEpoch: boolean;
 	/** Time after which missing workers are removed, ms; 0 removes them at once. */
 	readonly removalDelayMs: number;
+	/** The same for workers whose entries a peer misses. */
+	readonly unconfirmedDelayMs: number;
+	/** Whether unknown workers whose entries a peer misses are added as well. */
+	readonly addsUnconfirmed: boolean;
 	/** Monotonic ms. */
 	readonly nowMs: number;
 };
@@ -43,39 +47,25 @@
 	readonly #tombstones: Tombstone[] = [];
 	/** Revision after which all tombstones are still kept. */
 	#tombstonesCompleteFrom = 0;
-	#fingerprint = 0;
+	/** `undefined` if it has to be computed again. */
+	#fingerprint: number | undefined;
 
 	constructor(private readonly fleet: Fleet, private readonly log: Log, private readonly listener: WorkerListener) {}
 
-	/** Hash of the ids, states, start times and addresses of the workers. */
+	/** Hash of the ids, states, start times and addresses of the workers, without those whose removal is scheduled: a host that has seen the removal has them no more. */
 	get fingerprint(): number {
+		this.#fingerprint ??= this.#computeFingerprint();
 		return this.#fingerprint;
 	}
 
 	/** @returns whether the data has changed. */
-	apply(update: WorkersUpdate, {isNewEpoch, removalDelayMs, nowMs}: WorkersUpdateOptions): boolean {
-		let hasChanged = false;
-		for (const entry of update.changed) {
-			if (getEpoch(update.revision) > 0 && this.#reports.isOutdated(entry, isNewEpoch)) {
-				this.log.info({event: 'outdated-report', worker: entry.id, state: entry.state, sequence: entry.sequence, revision: update.revision});
-			} else {
-				hasChanged = this.#put(entry, update.revision, nowMs) || hasChanged;
-			}
-		}
-
-		for (const id of findRemovedIds(update, this.fleet)) {
-			if (removalDelayMs > 0) {
-				this.fleet.scheduleRemoval(id, nowMs + removalDelayMs);
-			} else {
-				hasChanged = this.#remove(id, update.revision) || hasChanged;
-			}
-		}
-
-		if (hasChanged) {
-			this.#updateFingerprint();
-		}
-
-		return hasChanged;
+	apply(update: WorkersUpdate, options: WorkersUpdateOptions): boolean {
+		const hasChanged = this.#applyChanged(update, options);
+		const hasRemoved = this.#removeMissing(findRemovedIds(update, this.fleet), update.revision, options.removalDelayMs, options.nowMs);
+		// A removal that is scheduled already stays so.
+		const unconfirmed = (update.unconfirmed ?? []).filter(id => this.fleet.get(id)?.removeAtMs === undefined);
+		const hasRemovedUnconfirmed = this.#removeMissing(unconfirmed, update.revision, options.unconfirmedDelayMs, options.nowMs);
+		return hasChanged || hasRemoved || hasRemovedUnconfirmed;
 	}
 
 	/** Removes workers whose scheduled removal is due. @param revision revision to record. @returns whether any was removed. */
@@ -86,10 +76,6 @@
 			this.log.info({event: 'worker-gone', worker: id, reason: 'its entry expired and was not written again'});
 		}
 
-		if (removedIds.length > 0) {
-			this.#updateFingerprint();
-		}
-
 		return removedIds.length > 0;
 	}
 
@@ -97,18 +83,57 @@
 	buildUpdate(revision: number, cursor: number): WorkersUpdate {
 		const isWhole = revision < this.#tombstonesCompleteFrom || revision === 0;
 		const changed: WorkerRegistration[] = [];
-		for (const {registration: entry} of this.fleet.all()) {
+		const unconfirmed: string[] = [];
+		for (const {registration: entry, removeAtMs} of this.fleet.all()) {
 			if (isWhole || (this.#changedRevisions.get(entry.id) ?? 0) > revision) {
 				changed.push(entry);
 			}
+
+			if (removeAtMs !== undefined) {
+				unconfirmed.push(entry.id);
+			}
 		}
 
 		const removed = this.#tombstones.filter(tombstone => tombstone.revision > revision && !this.fleet.get(tombstone.id)).map(({id}) => id);
 		return {
-			revision: cursor, isWhole, changed, removed,
+			revision: cursor, isWhole, changed, removed, unconfirmed,
 		};
 	}
 
+	/** Puts all changed entries that are not outdated. @returns whether the data has changed. */
+	#applyChanged({revision, changed, unconfirmed = []}: WorkersUpdate, {isNewEpoch, addsUnconfirmed, nowMs}: WorkersUpdateOptions): boolean {
+		const leftOut = new Set(addsUnconfirmed ? [] : unconfirmed);
+		let hasChanged = false;
+		for (const entry of changed) {
+			if (leftOut.has(entry.id)) {
+				continue;
+			}
+
+			if (getEpoch(revision) > 0 && this.#reports.isOutdated(entry, isNewEpoch)) {
+				this.log.info({event: 'outdated-report', worker: entry.id, state: entry.state, sequence: entry.sequence, revision});
+			} else {
+				hasChanged = this.#put(entry, revision, nowMs) || hasChanged;
+			}
+		}
+
+		return hasChanged;
+	}
+
+	/** Removes workers, or schedules their removal. @returns whether any was removed. */
+	#removeMissing(ids: readonly string[], revision: number, delayMs: number, nowMs: number): boolean {
+		let hasRemoved = false;
+		for (const id of ids) {
+			if (delayMs > 0) {
+				this.fleet.scheduleRemoval(id, nowMs + delayMs);
+				this.#fingerprint = undefined;
+			} else {
+				hasRemoved = this.#remove(id, revision) || hasRemoved;
+			}
+		}
+
+		return hasRemoved;
+	}
+
 	#put(entry: WorkerRegistration, revision: number, nowMs: number): boolean {
 		const isLaterColdReport = this.#reports.isLaterColdReport(entry);
 		this.#reports.record(entry);
@@ -121,6 +146,7 @@
 			this.listener.onWorkerStart(entry.id);
 		}
 
+		this.#fingerprint = undefined;
 		this.#changedRevisions.set(entry.id, revision);
 		this.log.info({
 			event: 'worker', worker: entry.id, service: entry.service, zone: entry.zone, state: entry.state, coldMs: entry.coldMs, revision,
@@ -139,6 +165,7 @@
 	}
 
 	#recordRemoval(id: string, revision: number): void {
+		this.#fingerprint = undefined;
 		this.listener.onWorkerRemoved(id);
 		this.#reports.recordRemoval(id);
 		this.#changedRevisions.delete(id);
@@ -149,13 +176,17 @@
 		}
 	}
 
-	#updateFingerprint(): void {
+	#computeFingerprint(): number {
 		let fingerprint = 0;
-		for (const {registration: entry} of this.fleet.all()) {
+		for (const {registration: entry, removeAtMs} of this.fleet.all()) {
+			if (removeAtMs !== undefined) {
+				continue;
+			}
+
 			fingerprint = (fingerprint + hashText(`${entry.id} ${entry.state} ${entry.bornMs} ${entry.address}`)) % (2 ** 32);
 		}
 
-		this.#fingerprint = fingerprint;
+		return fingerprint;
 	}
 }
 
--- a/test/entry/state.test.ts
+++ b/test/entry/state.test.ts
@@ -58,6 +58,85 @@
 	assert.equal(state.fleet.get('c'), undefined);
 });
 
+/** A host that stood still for more than `SOURCE_OUTAGE_MS` and reads of a removal, and a worker that was added meanwhile, before others have told it; the others are at the given revision. */
+function makeReturnedHost(clock: FakeClock): ReplicatedState {
+	const returned = makeState(clock);
+	returned.applyWorkers(makeWorkersUpdate(1, [makeWorker('gone'), makeWorker('other')], [], true), clock.monotonic());
+	clock.advance(2700);
+	returned.applyWorkers(makeWorkersUpdate(4, [makeWorker('added')], ['gone']), clock.monotonic());
+	assert.ok(returned.fleet.get('gone'), 'the entry may have lapsed while the source was away');
+	return returned;
+}
+
+/** Lets a host take what it lacks from a peer. */
+function catchUp(state: ReplicatedState, peer: ReplicatedState, clock: FakeClock): void {
+	const {operations, workers} = peer.reportStatus();
+	const request = state.compareWithPeer(operations, workers);
+	if (request) {
+		state.applyCatchUp(structuredClone(peer.buildCatchUpResponse(request.operations, request.workers)), clock.monotonic());
+	}
+}
+
+// DRAIN (review/7): a host that had stood still gave the others a worker back whose entry was removed meanwhile.
+test('replicated state: a host that returns gives no removed worker back', () => {
+	const clock = new FakeClock();
+	const returned = makeReturnedHost(clock);
+	const undisturbed = makeState(clock);
+	undisturbed.applyWorkers(makeWorkersUpdate(1, [makeWorker('gone'), makeWorker('other')], [], true), clock.monotonic());
+	undisturbed.applyWorkers(makeWorkersUpdate(3, [], ['gone']), clock.monotonic());
+	catchUp(undisturbed, returned, clock);
+	assert.ok(undisturbed.fleet.get('added'));
+	assert.equal(undisturbed.fleet.get('gone'), undefined);
+	assert.equal(undisturbed.reportStatus().workers.fingerprint, returned.reportStatus().workers.fingerprint, 'hosts that agree on all confirmed workers request nothing of each other');
+});
+
+test('replicated state: a host whose data are fresh removes at once what a returned host has read to be missing', () => {
+	const clock = new FakeClock();
+	const returned = makeReturnedHost(clock);
+	const follower = makeState(clock);
+	follower.applyWorkers(makeWorkersUpdate(2, [makeWorker('gone'), makeWorker('other')], [], true), clock.monotonic());
+	catchUp(follower, returned, clock);
+	assert.deepEqual(Array.from(follower.fleet.all(), ({registration}) => registration.id).toSorted(), ['added', 'other']);
+});
+
+for (const [name, prepare] of [
+	['a host whose data are old', (state: ReplicatedState, clock: FakeClock) => {
+		state.applyWorkers(makeWorkersUpdate(1, [makeWorker('gone'), makeWorker('other')], [], true), clock.monotonic());
+	}],
+	['a host that starts', () => {}],
+] as const) {
+	test(`replicated state: after an outage of the source, ${name} keeps a missing worker for the grace period`, () => {
+		const clock = new FakeClock();
+		const state = makeState(clock);
+		prepare(state, clock);
+		const reader = makeReturnedHost(clock);
+		catchUp(state, reader, clock);
+		assert.ok(state.fleet.get('gone'));
+		assert.equal(state.reportStatus().workers.fingerprint, reader.reportStatus().workers.fingerprint);
+		clock.advance(1500);
+		reader.applyWorkers(makeWorkersUpdate(5, [makeWorker('added', {sequence: 2})]), clock.monotonic());
+		catchUp(state, reader, clock);
+		clock.advance(1000);
+		state.sweep();
+		assert.equal(state.fleet.get('gone'), undefined);
+		assert.ok(state.fleet.get('other'));
+	});
+}
+
+test('replicated state: a missing worker that is written again stays, also at a host that has it from a peer', () => {
+	const clock = new FakeClock();
+	const follower = makeState(clock);
+	follower.applyWorkers(makeWorkersUpdate(1, [makeWorker('gone'), makeWorker('other')], [], true), clock.monotonic());
+	const reader = makeReturnedHost(clock);
+	catchUp(follower, reader, clock);
+	clock.advance(500);
+	reader.applyWorkers(makeWorkersUpdate(5, [makeWorker('gone')]), clock.monotonic());
+	catchUp(follower, reader, clock);
+	clock.advance(5000);
+	follower.sweep();
+	assert.ok(follower.fleet.get('gone'));
+});
+
 test('replicated state: the listener hears of workers that are removed after the grace period', () => {
 	const clock = new FakeClock();
 	let updates = 0;
