fix(entry): a host that has started again waits a window before it retries

Cause: each host counts its requests and retries in memory; a process that starts has its share of the budget once more.

Change: the budget is closed for one window from the start of the process, and opened at once if the registration finds no entry of an earlier process.

--- a/packages/entry/src/host/caller-service.ts
+++ b/packages/entry/src/host/caller-service.ts
@@ -2,7 +2,7 @@
 import type {Clock, Random} from '@apricotwood/clock';
 import {hashText} from '@apricotwood/routing';
 import {
-	Placer, RetryBudget, TrafficSplitter, WarmupLimiter, type LoadTracker, type ReportInterval, type RetryBudgetOptions, type ShutdownDeadline, type WaitingRequests,
+	Placer, TrafficSplitter, WarmupLimiter, type LoadTracker, type ReportInterval, type RetryBudget, type ShutdownDeadline, type WaitingRequests,
 } from '@apricotwood/steering';
 import type {Log, Metrics} from '@apricotwood/telemetry';
 import type {Dialect} from '../dialect.js';
@@ -24,8 +24,8 @@
 	readonly log: Log;
 	readonly metrics: Metrics;
 	readonly dialect: Dialect;
-	/** Bounds on upstream retries, over all hosts. */
-	readonly retryBudget: RetryBudgetOptions;
+	/** Limits upstream retries. */
+	readonly retryBudget: RetryBudget;
 	readonly members: MemberList;
 	readonly state: ReplicatedState;
 	readonly lifecycle: HostLifecycle;
@@ -73,7 +73,7 @@
 		crashDetector: access.crashDetector,
 		crashGuard: reports.crashGuard,
 		roundTrips: access.roundTrips,
-		retryBudget: new RetryBudget(deps.retryBudget),
+		retryBudget: deps.retryBudget,
 		trafficSplitter: new TrafficSplitter(),
 		retryDetector: new RetryDetector(),
 		heldBytes: new HeldBytes(),
--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -3,7 +3,7 @@
 	EventLoopMonitor, sleep, type Clock, type Random,
 } from '@apricotwood/clock';
 import {
-	LoadTracker, ReportInterval, ShutdownDeadline, WaitingRequests, type RetryBudgetOptions,
+	LoadTracker, ReportInterval, RetryBudget, ShutdownDeadline, WaitingRequests, type RetryBudgetOptions,
 } from '@apricotwood/steering';
 import {Supervisor} from '@apricotwood/supervisor';
 import type {Log, Metrics} from '@apricotwood/telemetry';
@@ -96,12 +96,14 @@
 	readonly #running = new Set<RunningAttempt>();
 	readonly #shutdownDeadline = new ShutdownDeadline({marginMs: RESPONSE_MARGIN_MS});
 	readonly #shutdownReport: ShutdownReport;
+	readonly #retryBudget: RetryBudget;
 	readonly #eventLoop: EventLoopMonitor;
 	readonly #waitingRetrier: WaitingRetrier;
 
 	constructor(private readonly deps: EntryDeps) {
 		const {settings, clock, log, metrics} = deps;
 		this.#shutdownReport = new ShutdownReport({clock, log, metrics});
+		this.#retryBudget = new RetryBudget(settings.retryBudget, clock.monotonic() + settings.retryBudget.windowMs);
 		this.intake = new Intake({...deps, ...settings});
 		this.members = new MemberList(settings.self);
 		this.#peerPool = new ConnectionPool({
@@ -235,7 +237,7 @@
 	#createIngress(): Ingress {
 		return createIngress({
 			...this.deps,
-			retryBudget: this.deps.settings.retryBudget,
+			retryBudget: this.#retryBudget,
 			members: this.members,
 			state: this.state,
 			lifecycle: this.lifecycle,
@@ -267,6 +269,11 @@
 			objectCaches: this.#workers.statistics.objectCaches,
 			reports: this.#workers.reports.reports,
 			catchUp: this.#catchUp,
+			onRegistered: hasEarlierStart => {
+				if (!hasEarlierStart) {
+					this.#retryBudget.open();
+				}
+			},
 			isReady: () => this.isReady,
 			isSourceFailing: () => this.#hostState.poller.isFailing,
 			reportInterval: this.#reportInterval,
--- a/packages/entry/src/host/peer-service.ts
+++ b/packages/entry/src/host/peer-service.ts
@@ -6,6 +6,8 @@
 /** Dependencies of a `PeerService`. */
 export type PeerServiceDeps = Omit<HeartbeatServiceDeps, 'channel'> & {
 	readonly source: SteeringSource;
+	/** Called when this host is registered in the source. */
+	readonly onRegistered: (hasEarlierStart: boolean) => void;
 	/** IP addresses of seed hosts, which are contacted while the source is unavailable. */
 	readonly seeds: readonly string[];
 };
--- a/packages/entry/src/host/registration.ts
+++ b/packages/entry/src/host/registration.ts
@@ -21,6 +21,8 @@
 	readonly members: MemberList;
 	/** Returns the latest epoch of the source that this host knows of. */
 	readonly getEpoch: () => number;
+	/** Called after each registration. */
+	readonly onRegistered: (hasEarlierStart: boolean) => void;
 	/** Called after a failed attempt to register. */
 	readonly onFailure: () => void;
 	/** Called after each attempt. */
@@ -62,16 +64,19 @@
 
 	/** @returns whether the host is registered and knows the other registered hosts. */
 	async #register(signal: AbortSignal, failures: number): Promise<boolean> {
-		const {source, self, members, log, onFailure} = this.deps;
+		const {source, self, members, log, onRegistered, onFailure} = this.deps;
 		try {
-			const epoch = await source.register(self, AbortSignal.any([signal, AbortSignal.timeout(CALL_TIMEOUT_MS)]));
+			const {epoch, hasEarlierStart} = await source.register(self, AbortSignal.any([signal, AbortSignal.timeout(CALL_TIMEOUT_MS)]));
 			const hosts = await source.readHosts(AbortSignal.any([signal, AbortSignal.timeout(CALL_TIMEOUT_MS)]));
 			for (const host of hosts) {
 				members.put(host);
 			}
 
 			this.#registeredEpoch = epoch;
-			log.info({event: 'registered', hosts: hosts.length, epoch});
+			onRegistered(hasEarlierStart);
+			log.info({
+				event: 'registered', hosts: hosts.length, epoch, hasEarlierStart,
+			});
 			return true;
 		} catch (error) {
 			// A call that ends because this host ends is no failure of the source.
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -10,7 +10,7 @@
 export {computeShutdownSchedule, type ShutdownPeriods, type ShutdownSchedule} from './host/shutdown.js';
 export {Registration, type RegistrationDeps} from './host/registration.js';
 export type {
-	HostEntry, OperationsUpdate, SteeringSource, WorkersUpdate,
+	HostEntry, OperationsUpdate, RegistrationResult, SteeringSource, WorkersUpdate,
 } from './source.js';
 export {
 	ReplicatedState, type CatchUpResponse, type CatchUpRequest, type StateListener,
--- a/packages/entry/src/source.ts
+++ b/packages/entry/src/source.ts
@@ -38,13 +38,20 @@
 	readonly restore: readonly string[];
 };
 
+/** What the source responds to the registration of a host. */
+export type RegistrationResult = {
+	/** Epoch of the source in which the host is registered. A restored source, which has a higher epoch, may lack the registration. */
+	readonly epoch: number;
+	/** Whether the host was registered by an earlier process. */
+	readonly hasEarlierStart: boolean;
+};
+
 /** The source: the platform's store as a host sees it. Hosts read the operators' configuration and the registered workers from it, and register there. Each method throws when the store does not respond. */
 export interface SteeringSource {
 	/** @param after revision to continue from; `undefined` reads a full snapshot. */
 	readWorkers(after: number | undefined, signal: AbortSignal): Promise<WorkersUpdate>;
 	readOperations(after: number | undefined, signal: AbortSignal): Promise<OperationsUpdate>;
-	/** @returns the epoch of the source in which the host is registered. A restored source, which has a higher epoch, may lack the registration. */
-	register(host: HostEntry, signal: AbortSignal): Promise<number>;
+	register(host: HostEntry, signal: AbortSignal): Promise<RegistrationResult>;
 	/** Reads all hosts that have ever registered, including hosts that no longer run. */
 	readHosts(signal: AbortSignal): Promise<readonly HostEntry[]>;
 }
--- a/packages/fuzz/src/worker/worker-part.ts
+++ b/packages/fuzz/src/worker/worker-part.ts
@@ -85,7 +85,7 @@
 	}
 
 	async register() {
-		return 0;
+		return {epoch: 0, hasEarlierStart: false};
 	}
 
 	async readHosts() {
--- a/packages/steering/src/retry-budget.ts
+++ b/packages/steering/src/retry-budget.ts
@@ -26,11 +26,22 @@
  * ratio of its own requests and an even share of the additional retries.
  * Without the limit, workers that fail or shed many requests at once would cause
  * every request to be sent twice, which would overload the healthy workers.
+ *
+ * The counts do not outlive the process. A host that has started again may have
+ * used up its share before, so its budget is closed for the length of a window.
  */
 export class RetryBudget {
 	readonly #windows = new Map<string, WindowCounts>();
 
-	constructor(private readonly options: RetryBudgetOptions) {}
+	/**
+	 * @param closedUntilMs time before which no retry is allowed, monotonic ms. @default none
+	 */
+	constructor(private readonly options: RetryBudgetOptions, private closedUntilMs = Number.NEGATIVE_INFINITY) {}
+
+	/** Allows retries from now on. */
+	open(): void {
+		this.closedUntilMs = Number.NEGATIVE_INFINITY;
+	}
 
 	/** Counts a request, which raises the budget. */
 	recordRequest(service: string, nowMs: number): void {
@@ -38,8 +49,12 @@
 		counts.requests[counts.bucket % BUCKET_COUNT]!++;
 	}
 
-	/** Takes one retry from the budget. @returns `false` when the budget is used up. */
+	/** Takes one retry from the budget. @returns `false` when the budget is used up or closed. */
 	tryTake(service: string, hostCount: number, nowMs: number): boolean {
+		if (nowMs < this.closedUntilMs) {
+			return false;
+		}
+
 		const counts = this.#currentWindow(service, nowMs);
 		const allowed = SAFETY_FACTOR * ((this.options.ratio * sum(counts.requests)) + (this.options.extra / Math.max(1, hostCount)));
 		if (sum(counts.retries) + 1 > allowed) {
--- a/test/entry/calls-at-end.test.ts
+++ b/test/entry/calls-at-end.test.ts
@@ -57,7 +57,7 @@
 class FailingSource implements SteeringSource {
 	isSilent = false;
 
-	async register(_self: unknown, signal: AbortSignal): Promise<number> {
+	async register(_self: unknown, signal: AbortSignal): Promise<never> {
 		if (!this.isSilent) {
 			throw new Error('source is busy');
 		}
@@ -100,6 +100,7 @@
 			},
 		},
 		getEpoch: () => 0,
+		onRegistered() {},
 		onFailure() {
 			calls.push('seeds');
 		},
--- a/test/entry/source-poller.test.ts
+++ b/test/entry/source-poller.test.ts
@@ -27,7 +27,7 @@
 	}
 
 	async register() {
-		return 0;
+		return {epoch: 0, hasEarlierStart: false};
 	}
 
 	async readHosts() {
--- a/test/entry/source-restore.test.ts
+++ b/test/entry/source-restore.test.ts
@@ -174,11 +174,12 @@
 				}
 
 				registeredEpochs.push(epoch);
-				return epoch;
+				return {epoch, hasEarlierStart: false};
 			},
 			readHosts: async () => [],
 		},
 		getEpoch: () => epoch,
+		onRegistered() {},
 		onFailure() {},
 		onAttempt() {},
 	});
--- a/test/steering/limits.test.ts
+++ b/test/steering/limits.test.ts
@@ -83,6 +83,44 @@
 	});
 }
 
+// BUDGET (review/9): hosts that were killed together began their retry budgets anew.
+for (const restartsMs of [[14_000], [14_000, 17_000, 20_000]]) {
+	test(`retry budget: the bound holds when all hosts start again after ${restartsMs.join(', ')} ms`, () => {
+		const bounds = {ratio: 0.2, extra: 60, windowMs: 10_000};
+		const hosts = 4;
+		const failureStartMs = 10_000;
+		const endMs = 40_000;
+		const requests: number[] = [];
+		const retries: number[] = [];
+		let budgets = Array.from({length: hosts}, () => new RetryBudget(bounds));
+		for (let nowMs = 0; nowMs < endMs; nowMs += 5) {
+			if (restartsMs.includes(nowMs)) {
+				budgets = budgets.map(() => new RetryBudget(bounds, nowMs + bounds.windowMs));
+			}
+
+			const budget = budgets[(nowMs / 5) % hosts]!;
+			budget.recordRequest('board', nowMs);
+			requests.push(nowMs);
+			if (nowMs >= failureStartMs && budget.tryTake('board', hosts, nowMs)) {
+				retries.push(nowMs);
+			}
+		}
+
+		const allowed = (bounds.ratio * bounds.windowMs / 5) + bounds.extra;
+		assert.ok(countMaxInWindow(retries, bounds.windowMs) <= allowed, `${countMaxInWindow(retries, bounds.windowMs)} retries in a window, ${allowed} allowed`);
+		assert.ok(retries.some(atMs => atMs > restartsMs.at(-1)! + bounds.windowMs), 'retries are allowed again');
+	});
+}
+
+test('retry budget: one that is closed until the window of an earlier process is over can be opened before', () => {
+	const budget = new RetryBudget({ratio: 0.2, extra: 60, windowMs: 10_000}, 10_000);
+	assert.equal(budget.tryTake('board', 1, 9999), false);
+	assert.equal(budget.tryTake('board', 1, 10_000), true);
+	const opened = new RetryBudget({ratio: 0.2, extra: 60, windowMs: 10_000}, 10_000);
+	opened.open();
+	assert.equal(opened.tryTake('board', 1, 0), true);
+});
+
 for (const [name, shares] of [['50/50', [50, 50]], ['90/10', [90, 10]], ['60/25/15', [60, 25, 15]]] as const) {
 	for (const objects of [8, 24, 72]) {
 		test(`traffic splitter: shares of ${name} over ${objects} objects are met within 0.1, and most requests for an object go to one service`, () => {
