fix(entry): requests that crash workers are known after a loss of all hosts

Cause: what is known of such requests was in the memory of the hosts only.

Each host writes a row of its own for a request of which it has seen a crash, a trial or a response itself, from the second crash on; a host that starts reads all rows and unites them as it unites the reports of peers. CrashTracker decides as before. Requests that got responses shortly before are not written, so that workers that end together cost few calls.

--- a/packages/entry/src/entry-schemas.ts
+++ b/packages/entry/src/entry-schemas.ts
@@ -13,6 +13,12 @@
 
 const shortTextSchema = z.string().max(MAX_NAME_LENGTH, `must have ${MAX_NAME_LENGTH} characters or fewer`);
 
+/** Longest fingerprint of a request, characters. */
+const MAX_FINGERPRINT_LENGTH = 64;
+
+/** Fingerprint of a request. */
+export const fingerprintSchema = z.string().min(1).max(MAX_FINGERPRINT_LENGTH);
+
 /** Name of a service, zone or region. */
 export const nameSchema = shortTextSchema.min(1, 'must not be empty');
 
--- a/packages/entry/src/host/host-reports.ts
+++ b/packages/entry/src/host/host-reports.ts
@@ -8,7 +8,9 @@
 import {PeerReports} from '../peer/reports.js';
 import {TrialReports} from '../peer/trial-reports.js';
 import {CrashGuard} from '../request/crash-guard.js';
+import type {CrashHistorySource} from '../source.js';
 import type {ReplicatedState} from '../state/replicated-state.js';
+import {CrashArchive} from './crash-archive.js';
 
 /** Dependencies of `createHostReports`. */
 export type HostReportsDeps = {
@@ -21,6 +23,8 @@
 	readonly drains: DrainTracker;
 	readonly rateLimits: RateLimitTracker;
 	readonly isolation: IsolationReports;
+	/** Keeps the histories of requests that crash workers. @default nowhere */
+	readonly crashHistorySource?: CrashHistorySource;
 	/** Hash of this host's id. */
 	readonly hostHash: number;
 	/** Whether this host reaches workers, so that it may send trials of requests that are held to crash workers. */
@@ -32,6 +36,7 @@
 /** What hosts tell each other beside their state, and what records it for this host. */
 export type HostReports = {
 	readonly crashGuard: CrashGuard;
+	readonly crashArchive: CrashArchive;
 	readonly drainReports: DrainReports;
 	readonly reports: PeerReports;
 };
@@ -39,7 +44,13 @@
 /** Creates the reports of a host: workers that leave or name a limit, requests that crash workers, and hosts that reach none. */
 export function createHostReports(deps: HostReportsDeps): HostReports {
 	const {clock, log, metrics, state, crashes, drains, rateLimits, isolation} = deps;
-	const crashGuard = new CrashGuard({...deps, onChange: deps.onCrashChange});
+	const crashArchive = new CrashArchive({
+		...deps,
+		onLoaded(requests) {
+			crashGuard.refresh(requests);
+		},
+	});
+	const crashGuard = new CrashGuard({...deps, archive: crashArchive, onChange: deps.onCrashChange});
 	const drainReports = new DrainReports({
 		clock, log, state, drains,
 	});
@@ -52,5 +63,5 @@
 	const rateLimitReports = new RateLimitReports({
 		clock, log, state, rateLimits,
 	});
-	return {crashGuard, drainReports, reports: new PeerReports([drainReports, rateLimitReports, crashReports, trialReports, isolation], metrics)};
+	return {crashGuard, crashArchive, drainReports, reports: new PeerReports([drainReports, rateLimitReports, crashReports, trialReports, isolation], metrics)};
 }
--- a/packages/entry/src/host/host.ts
+++ b/packages/entry/src/host/host.ts
@@ -16,7 +16,7 @@
 import type {RunningAttempt} from '../request/session-deps.js';
 import {ShutdownReport} from '../request/shutdown-report.js';
 import {WaitingRetrier} from '../request/waiting-retrier.js';
-import type {HostEntry, SteeringSource} from '../source.js';
+import type {CrashHistorySource, HostEntry, SteeringSource} from '../source.js';
 import type {ReplicatedState} from '../state/replicated-state.js';
 import {createTcpConnector, type Connector} from '../upstream/connector.js';
 import {ConnectionPool} from '../upstream/pool.js';
@@ -61,6 +61,8 @@
 	readonly log: Log;
 	readonly metrics: Metrics;
 	readonly source: SteeringSource;
+	/** Keeps the histories of requests that crash workers. @default nowhere: they end with the last host that knows them */
+	readonly crashHistorySource?: CrashHistorySource;
 	readonly dialect: Dialect;
 	/** Opens the connections to workers. @default TCP */
 	readonly connector?: Connector;
@@ -159,6 +161,7 @@
 			{name: 'checks', run: async inner => this.#workerAccess.runHealthChecks(inner)},
 			{name: 'reach', run: async inner => this.#workerAccess.runProbes(inner)},
 			{name: 'report', run: async inner => this.#stateReporter.run(inner)},
+			{name: 'crash-history', run: async inner => this.#workers.reports.crashArchive.run(inner)},
 			{name: 'pump', run: async inner => this.#waitingRetrier.run(inner)},
 		], stop.signal).catch((error: unknown) => {
 			failed.abort(error);
--- a/packages/entry/src/host/worker-service.ts
+++ b/packages/entry/src/host/worker-service.ts
@@ -5,6 +5,7 @@
 import type {Dialect} from '../dialect.js';
 import {IsolationReports} from '../peer/isolation-reports.js';
 import type {MemberList} from '../peer/members.js';
+import type {CrashHistorySource} from '../source.js';
 import type {ReplicatedState} from '../state/replicated-state.js';
 import type {WorkerListener} from '../state/worker-replica.js';
 import {createTcpConnector, type Connector} from '../upstream/connector.js';
@@ -21,6 +22,8 @@
 	readonly dialect: Dialect;
 	/** Opens the connections to workers. @default TCP */
 	readonly connector?: Connector;
+	/** Keeps the histories of requests that crash workers. @default nowhere */
+	readonly crashHistorySource?: CrashHistorySource;
 	readonly members: MemberList;
 	readonly state: ReplicatedState;
 	/** Returns the hosts that may send to workers now. */
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -4,13 +4,13 @@
 export {EntryHost, type EntryDeps, type EntrySettings} from './host/host.js';
 export {Ingress} from './request/ingress.js';
 export {
-	MAX_DURATION_MS, addressSchema, countSchema, hostEntrySchema, idSchema, ipSchema, nameSchema, portSchema, slotsSchema,
+	MAX_DURATION_MS, addressSchema, countSchema, fingerprintSchema, hostEntrySchema, idSchema, ipSchema, nameSchema, portSchema, slotsSchema,
 } from './entry-schemas.js';
 export {HostPhase} from './host/phase.js';
 export {computeShutdownSchedule, type ShutdownPeriods, type ShutdownSchedule} from './host/shutdown.js';
 export {Registration, type RegistrationDeps} from './host/registration.js';
 export type {
-	HostEntry, OperationsUpdate, RegistrationResult, SteeringSource, WorkersUpdate,
+	CrashHistoryEntry, CrashHistoryKey, CrashHistorySource, HostEntry, OperationsUpdate, RegistrationResult, SteeringSource, WorkersUpdate,
 } from './source.js';
 export {
 	ReplicatedState, type CatchUpResponse, type CatchUpRequest, type StateListener,
@@ -56,4 +56,5 @@
 	Exchange, ExchangeEnd, type ExchangeListener, type ResponseHead, type ResponseSink, type ExchangeRequest, type ExchangeResult,
 } from './upstream/exchange.js';
 export {ConnectionPool, computeMaxIdleConnections} from './upstream/pool.js';
+export {CrashArchive} from './host/crash-archive.js';
 export {resetSocket, wasResetAtEnd} from './socket.js';
--- a/packages/entry/src/peer/crash-reports.ts
+++ b/packages/entry/src/peer/crash-reports.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@apricotwood/clock';
 import type {CrashReport, CrashTracker} from '@apricotwood/steering';
 import * as z from 'zod';
+import {fingerprintSchema} from '../entry-schemas.js';
 import {ReportKind} from './report-codec.js';
 import type {ReportTopic} from './reports.js';
 
@@ -12,12 +13,6 @@
 	readonly onChange: (requests: readonly string[]) => void;
 };
 
-/** Upper bound of the length of a fingerprint, characters. */
-const MAX_FINGERPRINT_LENGTH = 64;
-
-/** Fingerprint of a request in a report. */
-export const fingerprintSchema = z.string().min(1).max(MAX_FINGERPRINT_LENGTH);
-
 const crashesSchema = z.array(z.tuple([fingerprintSchema, z.number().int().min(0), z.array(z.number()), z.number().min(0)]));
 
 /** Encodes what is known of requests that were at crashes, each as fingerprint, generation, worker hashes and age in ms. */
--- a/packages/entry/src/peer/trial-reports.ts
+++ b/packages/entry/src/peer/trial-reports.ts
@@ -1,7 +1,7 @@
 import type {Clock} from '@apricotwood/clock';
 import type {CrashTracker, TrialReport} from '@apricotwood/steering';
 import * as z from 'zod';
-import {fingerprintSchema} from './crash-reports.js';
+import {fingerprintSchema} from '../entry-schemas.js';
 import {ReportKind} from './report-codec.js';
 import type {ReportTopic} from './reports.js';
 
--- a/packages/entry/src/request/crash-guard.ts
+++ b/packages/entry/src/request/crash-guard.ts
@@ -4,6 +4,7 @@
 } from '@apricotwood/steering';
 import {hashText} from '@apricotwood/routing';
 import type {Log} from '@apricotwood/telemetry';
+import type {CrashArchive} from '../host/crash-archive.js';
 import type {RequestFingerprint} from './fingerprint.js';
 import {RejectionCode, createNotRunRejection, type Rejection} from './rejection.js';
 import {ServedRequests} from './served-requests.js';
@@ -27,6 +28,8 @@
 	readonly canSendTrials: () => boolean;
 	/** Called when what is known of crashes has changed, so that the peers are told. */
 	readonly onChange: () => void;
+	/** Keeps what is known. */
+	readonly archive: CrashArchive;
 };
 
 /** `Retry-After` of a suspect while another copy of it is in progress, ms. */
@@ -73,7 +76,7 @@
 
 	/** Begins to send a request to a worker; a trial counts from here on. @param deadlineAtMs deadline of the request, monotonic ms. @returns whether it may be sent. */
 	beginAttempt(req: GuardedRequest, deadlineAtMs: number): boolean {
-		const {crashes, clock, random, log, onChange} = this.deps;
+		const {crashes, clock, random, log, archive, onChange} = this.deps;
 		if (this.checkAttempt(req)) {
 			return false;
 		}
@@ -82,6 +85,7 @@
 			const {value} = req.fingerprint;
 			crashes.beginTrial(value, Math.floor(random.next() * (2 ** 32)), deadlineAtMs, clock.monotonic());
 			log.warn({event: 'crash-trial', fingerprint: value, trials: crashes.countTrials(value)});
+			archive.recordOwn([value]);
 			onChange();
 		}
 
@@ -95,10 +99,11 @@
 
 	/** Records that a worker crashed. @param fingerprints requests that ran there. */
 	recordCrash({registration: {id, bornMs}}: Worker, fingerprints: readonly string[]): void {
-		const {crashes, clock, onChange} = this.deps;
+		const {crashes, clock, archive, onChange} = this.deps;
 		const worker = hashText(`${id} ${bornMs}`);
 		const changed = fingerprints.filter(fingerprint => crashes.recordCrash(fingerprint, worker, clock.monotonic()));
 		if (changed.length > 0) {
+			archive.recordOwn(changed);
 			this.refresh(changed);
 			onChange();
 		}
@@ -106,19 +111,21 @@
 
 	/** Records that a worker has run a request and responded. */
 	recordResponse(fingerprint: RequestFingerprint): void {
-		const {crashes, clock, log, onChange} = this.deps;
+		const {crashes, clock, log, archive, onChange} = this.deps;
 		const nowMs = clock.monotonic();
 		this.#served.record(fingerprint, nowMs);
 		if (!crashes.isEmpty && crashes.recordResponse(fingerprint.value, nowMs)) {
 			log.info({event: 'crash-suspect', fingerprint: fingerprint.value, verdict: CrashVerdict.Clear});
+			archive.recordOwn([fingerprint.value]);
 			onChange();
 		}
 	}
 
 	/** Applies changes of what is known: logs the verdicts, and stops what is quarantined now. @param fingerprints requests with changes. */
 	refresh(fingerprints: readonly string[]): void {
-		const {crashes, clock, log} = this.deps;
+		const {crashes, clock, log, archive} = this.deps;
 		const nowMs = clock.monotonic();
+		archive.recordKnown(fingerprints);
 		for (const fingerprint of fingerprints) {
 			if (this.#served.has(fingerprint, nowMs)) {
 				crashes.recordServedBefore(fingerprint);
--- a/packages/entry/src/source.ts
+++ b/packages/entry/src/source.ts
@@ -38,6 +38,37 @@
 	readonly restore: readonly string[];
 };
 
+/** What one host knows of a request that may crash workers, as it is kept in the source. */
+export type CrashHistoryEntry = {
+	/** Hash of the id of the host that has written it. */
+	readonly host: number;
+	/** Fingerprint of the request. */
+	readonly request: string;
+	/** Number of responses that have cleared the request. */
+	readonly generation: number;
+	/** Workers that crashed, as hashes of their id and start. */
+	readonly workers: readonly number[];
+	/** Unix ms. */
+	readonly lastCrashAtMs: number;
+	/** Ids of the trials since the last response. */
+	readonly trials: readonly number[];
+	/** Time before which no further trial may be sent, Unix ms. */
+	readonly nextTrialAtMs: number;
+	/** Whether there is evidence for the request. */
+	readonly isDoubtful: boolean;
+};
+
+/** What identifies a `CrashHistoryEntry`. */
+export type CrashHistoryKey = Pick<CrashHistoryEntry, 'host' | 'request'>;
+
+/** Keeps what the hosts know of requests that crash workers, so that it outlives them. Each method throws when the source does not respond. */
+export interface CrashHistorySource {
+	/** Reads the entries of all hosts, also of those that no longer run. */
+	readCrashHistory(signal: AbortSignal): Promise<readonly CrashHistoryEntry[]>;
+	/** Writes and removes entries, all or none. Entries that do not exist are removed as well. */
+	updateCrashHistory(written: readonly CrashHistoryEntry[], removed: readonly CrashHistoryKey[], signal: AbortSignal): Promise<void>;
+}
+
 /** What the source responds to the registration of a host. */
 export type RegistrationResult = {
 	/** Epoch of the source in which the host is registered. A restored source, which has a higher epoch, may lack the registration. */
--- a/packages/steering/src/crash-tracker.ts
+++ b/packages/steering/src/crash-tracker.ts
@@ -12,6 +12,12 @@
 	readonly ageMs: number;
 };
 
+/** All that a host knows of a request that may crash workers. */
+export type CrashHistory = {
+	readonly crashes: CrashReport;
+	readonly trials: TrialReport;
+};
+
 /** Whether a request may be sent to workers. */
 export enum CrashVerdict {
 	Clear = 'clear',
@@ -248,13 +254,25 @@
 		return due.slice(0, MAX_REPORTED).map(record => {
 			record.remainingReports = Math.max(0, record.remainingReports - 1);
 			record.reportedAtMs = nowMs;
-			const {request, generation, workers, lastCrashAtMs} = record;
-			return {
-				request, generation, workers: [...workers], ageMs: Math.max(0, nowMs - lastCrashAtMs),
-			};
+			return describeCrashes(record, nowMs);
 		});
 	}
 
+	/** Whether a request has been at a crash, and is remembered. */
+	has(request: string): boolean {
+		return this.#records.has(request);
+	}
+
+	/** Returns what is known of a request; `undefined` if it is no suspect and has never been cleared. */
+	describe(request: string, nowMs: number): CrashHistory | undefined {
+		const record = this.#records.get(request);
+		if (!record || (record.workers.size < SUSPECT_CRASHES && record.generation === 0)) {
+			return undefined;
+		}
+
+		return {crashes: describeCrashes(record, nowMs), trials: {request, generation: record.generation, ...record.trials.describe(nowMs)}};
+	}
+
 	/** Crashes of a request without those at which a quarantined request with more crashes was running too. One that had stopped crashing workers explains nothing. */
 	#countUnexplained(record: CrashRecord): number {
 		if (record.workers.size < SUSPECT_CRASHES) {
@@ -316,6 +334,12 @@
 	}
 }
 
+function describeCrashes({request, generation, workers, lastCrashAtMs}: CrashRecord, nowMs: number): CrashReport {
+	return {
+		request, generation, workers: [...workers], ageMs: Math.max(0, nowMs - lastCrashAtMs),
+	};
+}
+
 function hasSameMembers(a: ReadonlySet<number>, b: ReadonlySet<number>): boolean {
 	return a.size === b.size && [...a].every(member => b.has(member));
 }
--- a/packages/steering/src/crash-trials.ts
+++ b/packages/steering/src/crash-trials.ts
@@ -163,6 +163,11 @@
 
 		this.#remainingReports = Math.max(0, this.#remainingReports - 1);
 		this.#reportedAtMs = nowMs;
+		return this.describe(nowMs);
+	}
+
+	/** Returns what is known, without the request. */
+	describe(nowMs: number): Omit<TrialReport, 'request' | 'generation'> {
 		return {
 			runs: [...this.#runs],
 			waitMs: Math.max(0, Number.isFinite(this.#notBeforeMs) ? this.#notBeforeMs - nowMs : 0),
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -7,7 +7,7 @@
 export {DrainTracker, type DrainReport} from './drain-tracker.js';
 export {RouteTable} from './routes.js';
 export {
-	CrashTracker, CrashVerdict, SUSPECT_CRASHES, type CrashReport,
+	CrashTracker, CrashVerdict, SUSPECT_CRASHES, type CrashHistory, type CrashReport,
 } from './crash-tracker.js';
 export type {TrialReport} from './crash-trials.js';
 export {TrafficSplitter} from './traffic-splitter.js';
