--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -6,12 +6,13 @@
 export {ClientErrorStatus, answerClientErrors, formatEmptyAnswer} from './intake/client-error-responder.js';
 export {ConnectionGuard, type GuardLimits, type GuardListener} from './intake/connection-guard.js';
 export {Intake, type IntakeDeps} from './intake/intake.js';
-export {
-	EvictionReason, IntakeAccount, type BodyHolding, type PeerConnection, type RequestHolding,
-} from './intake/intake-account.js';
+export {EvictionReason} from './intake/eviction.js';
+export {IntakeAccount} from './intake/intake-account.js';
 export {
 	DEFAULT_INTAKE_SHARES, DEFAULT_PROCESS_RESOURCES, computeIntakeLimits, type IntakeLimits, type IntakeShares, type ProcessResources,
 } from './intake/intake-limits.js';
+export {type PeerConnection} from './intake/peer-connection.js';
+export {type BodyHolding, type RequestHolding} from './intake/request-holding.js';
 export {BodyFlow, ReadPacer, hasBody} from './intake/body-flow.js';
 export {HeldBytes, LongBody, type LongBodyOptions} from './intake/long-body.js';
 export {TurnBudget} from './intake/turn-budget.js';
--- a/packages/admission/src/intake/connection-guard.ts
+++ b/packages/admission/src/intake/connection-guard.ts
@@ -3,9 +3,10 @@
 import type {Socket} from 'node:net';
 import type {Clock} from '@apricotwood/clock';
 import {hasBody} from './body-flow.js';
-import {
-	EvictionReason, MAX_SERVED_REQUESTS, type IntakeAccount, type PeerConnection, type RequestHolding,
-} from './intake-account.js';
+import {EvictionReason} from './eviction.js';
+import type {IntakeAccount} from './intake-account.js';
+import {MAX_SERVED_REQUESTS, type PeerConnection} from './peer-connection.js';
+import type {RequestHolding} from './request-holding.js';
 import {REQUEST_CHUNKS, type TurnBudget} from './turn-budget.js';
 
 /** Interval at which connections are looked at, ms. */
--- a/packages/admission/src/intake/intake.ts
+++ b/packages/admission/src/intake/intake.ts
@@ -4,7 +4,8 @@
 import {ReadPacer} from './body-flow.js';
 import {answerClientErrors, formatEmptyAnswer, type ClientErrorStatus} from './client-error-responder.js';
 import {ConnectionGuard, type GuardLimits} from './connection-guard.js';
-import {IntakeAccount, type EvictionReason} from './intake-account.js';
+import type {EvictionReason} from './eviction.js';
+import {IntakeAccount} from './intake-account.js';
 import {
 	DEFAULT_PROCESS_RESOURCES, computeIntakeLimits, type IntakeShares, type ProcessResources,
 } from './intake-limits.js';
--- a/packages/admission/src/intake/long-body.ts
+++ b/packages/admission/src/intake/long-body.ts
@@ -3,7 +3,7 @@
 import {readPendingInput} from '@apricotwood/clock';
 import {BodyBuffer} from './body-buffer.js';
 import type {BodyFlow} from './body-flow.js';
-import type {BodyHolding} from './intake-account.js';
+import type {BodyHolding} from './request-holding.js';
 
 /** Bytes of one body that are read ahead of its worker. */
 const MAX_READ_AHEAD_BYTES = 1024 * 1024;
