--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -52,9 +52,10 @@
 export {
 	ProbeResult, createTcpConnector, probe, type Connector,
 } from './upstream/connector.js';
+export {Exchange, type ExchangeListener, type ExchangeRequest} from './upstream/exchange.js';
 export {
-	Exchange, ExchangeEnd, type ExchangeListener, type ResponseHead, type ResponseSink, type ExchangeRequest, type ExchangeResult,
-} from './upstream/exchange.js';
+	ExchangeEnd, type ExchangeResult, type ResponseHead, type ResponseSink,
+} from './upstream/response.js';
 export {ConnectionPool, computeMaxIdleConnections} from './upstream/pool.js';
 export {CrashArchive} from './host/crash-archive.js';
 export {resetSocket, wasResetAtEnd} from './socket.js';
--- a/packages/entry/src/request/attempt-outcome.ts
+++ b/packages/entry/src/request/attempt-outcome.ts
@@ -1,7 +1,7 @@
 import {
 	AttemptOutcome, type Placement, type Route, type Worker,
 } from '@apricotwood/steering';
-import {ExchangeEnd, type ExchangeResult, type ResponseHead} from '../upstream/exchange.js';
+import {ExchangeEnd, type ExchangeResult, type ResponseHead} from '../upstream/response.js';
 import type {GuardedRequest} from './crash-guard.js';
 import type {RequestFingerprint} from './fingerprint.js';
 import {FIRST_ERROR_STATUS} from './response-selection.js';
--- a/packages/entry/src/request/attempt.ts
+++ b/packages/entry/src/request/attempt.ts
@@ -5,9 +5,10 @@
 	CacheState, RequestKind, SendPurpose, type Placement, type Route, type Worker,
 } from '@apricotwood/steering';
 import type {RequestMetadata} from '../dialect.js';
+import {Exchange, type ExchangeListener} from '../upstream/exchange.js';
 import {
-	Exchange, ExchangeEnd, NOT_RUN_STATUSES, type ExchangeListener, type ExchangeResult, type ResponseSink,
-} from '../upstream/exchange.js';
+	ExchangeEnd, NOT_RUN_STATUSES, type ExchangeResult, type ResponseSink,
+} from '../upstream/response.js';
 import type {Connection} from '../upstream/connection.js';
 import type {ConnectionUse} from '../upstream/pool.js';
 import type {Member} from '../peer/members.js';
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -4,7 +4,7 @@
 } from '@apricotwood/steering';
 import type {IsolationReports} from '../peer/isolation-reports.js';
 import type {Member} from '../peer/members.js';
-import {ExchangeEnd, type ExchangeResult} from '../upstream/exchange.js';
+import {ExchangeEnd, type ExchangeResult} from '../upstream/response.js';
 import {RejectionCode, type Rejection} from './rejection.js';
 
 /** Maximum number of hosts that are tried for one request. */
--- a/packages/entry/src/request/response-selection.ts
+++ b/packages/entry/src/request/response-selection.ts
@@ -1,4 +1,4 @@
-import {NOT_RUN_STATUSES, isForwardable, type ResponseHead} from '../upstream/exchange.js';
+import {NOT_RUN_STATUSES, isForwardable, type ResponseHead} from '../upstream/response.js';
 
 /** Lowest status of a worker's own failure. */
 export const FIRST_ERROR_STATUS = 500;
--- a/packages/entry/src/request/response-writer.ts
+++ b/packages/entry/src/request/response-writer.ts
@@ -2,7 +2,7 @@
 import type {ServerResponse} from 'node:http';
 import type {RequestHolding} from '@apricotwood/admission';
 import {resetSocket} from '../socket.js';
-import type {ResponseHead, ResponseSink} from '../upstream/exchange.js';
+import type {ResponseHead, ResponseSink} from '../upstream/response.js';
 import {copyResponseHeaders} from './headers.js';
 import {sendRejection, type Rejection} from './rejection.js';
 
--- a/packages/entry/src/request/session-rejections.ts
+++ b/packages/entry/src/request/session-rejections.ts
@@ -1,6 +1,6 @@
 import {PlacementReason, computeRetryAfterMs, type Placement, type Route} from '@apricotwood/steering';
 import type {RequestMetadata} from '../dialect.js';
-import {ExchangeEnd, type ExchangeResult} from '../upstream/exchange.js';
+import {ExchangeEnd, type ExchangeResult} from '../upstream/response.js';
 import {
 	RejectionCode, createNotRunRejection, createUnknownOutcomeRejection, type Rejection,
 } from './rejection.js';
--- a/packages/entry/src/request/session.ts
+++ b/packages/entry/src/request/session.ts
@@ -4,7 +4,7 @@
 	RequestKind, computeWaitUntilMs, hashObject, type Placement, type Route,
 } from '@apricotwood/steering';
 import type {RequestMetadata} from '../dialect.js';
-import {ExchangeEnd, type ExchangeResult} from '../upstream/exchange.js';
+import {ExchangeEnd, type ExchangeResult} from '../upstream/response.js';
 import {AttemptSender, UNSENT_ENDS} from './attempt.js';
 import {BodyReadResult, type RequestBody} from './body.js';
 import {BodyReceiver} from './body-receiver.js';
