fix(entry): callers do not queue for longer than they wait

Nearly all that it accepted were callers that had left.

Cause: the queue of connections not yet accepted held 1,024, and Node accepts one in a turn of the event loop, some 300 a second there: 3.4 s for each caller. The ones that left came again, behind the others.

Ruled out: a long turn, and the guard's budget of a turn, which was not reached.

Change: the queue holds 128, in the daemon as well.

--- a/packages/daemon/src/server/server.ts
+++ b/packages/daemon/src/server/server.ts
@@ -26,8 +26,8 @@
 const KEEP_ALIVE_TIMEOUT_MS = 65_000;
 /** What callers, peers and operators may send; the size of a body is bounded where it is read. */
 const GUARD_LIMITS: GuardLimits = {maxHeadBytes: MAX_REQUEST_HEAD_BYTES, maxBodyBytes: 8 * 1024 * 1024, untakenTimeoutMs: KEEP_ALIVE_TIMEOUT_MS};
-/** Length of the queue of connections not yet accepted. */
-const LISTEN_BACKLOG = 1024;
+/** Length of the queue of connections not yet accepted. Node accepts one in a turn of the event loop: in a longer queue, callers have left before it is their turn. */
+const LISTEN_BACKLOG = 128;
 
 /** Handlers that the host's HTTP server dispatches to. */
 export type ServerDeps = {
--- a/packages/entry/src/request/ingress.ts
+++ b/packages/entry/src/request/ingress.ts
@@ -15,6 +15,8 @@
 } from './rejection.js';
 import {Session} from './session.js';
 
+/** Length of the queue of connections not yet accepted. Node accepts one in a turn of the event loop: in a longer queue, callers have left before it is their turn, and those that could be served wait behind them. */
+const LISTEN_BACKLOG = 128;
 /** Margin by which the server's keep-alive timeout exceeds the callers' idle timeout, ms, so that no request is sent while the server closes the connection. */
 const KEEP_ALIVE_MARGIN_MS = 2000;
 /** Age of the state (the older of operations and workers) above which a new route may be missing from it, ms; an unknown route is then answered with 503 instead of 404. */
@@ -78,7 +80,7 @@
 	async listen(ip: string, port: number): Promise<void> {
 		await new Promise<void>((resolve, reject) => {
 			this.#server.once('error', reject);
-			this.#server.listen(port, ip, 1024, resolve);
+			this.#server.listen(port, ip, LISTEN_BACKLOG, resolve);
 		});
 	}
 
