fix(entry): a response is kept also for requests of hosts that no longer run

What callers would see: after a restart of all hosts, a request that had been cleared by a response was held against its earlier crashes once more.

Cause: a host writes a response only for requests that it has written before, or that still look like the cause, and a response ends the latter; the rows of earlier processes stayed as they were.

Change: requests that had rows when the host started are written as well. CrashGuard names what it needs of the archive (CrashHistoryKeeper).

--- a/packages/entry/src/host/crash-archive.ts
+++ b/packages/entry/src/host/crash-archive.ts
@@ -1,6 +1,7 @@
 import {sleep, type Clock} from '@apricotwood/clock';
 import type {CrashHistory, CrashTracker} from '@apricotwood/steering';
 import type {Log} from '@apricotwood/telemetry';
+import type {CrashHistoryKeeper} from '../request/crash-guard.js';
 import type {CrashHistoryEntry, CrashHistorySource} from '../source.js';
 
 /** Timeout of each call to the source, ms. */
@@ -40,16 +41,17 @@
  * and the writes do not grow with the number of hosts. Readers unite the entries as
  * they unite the reports of peers.
  */
-export class CrashArchive {
+export class CrashArchive implements CrashHistoryKeeper {
 	/** Requests that this host has seen something of itself, and what was last written of each; `undefined` before. */
 	readonly #own = new Map<string, string | undefined>();
 	/** Those of which something may have to be written. */
 	readonly #due = new Set<string>();
+	/** Requests that had entries when this host started; those of hosts that no longer run are outweighed by what is written now. */
+	readonly #loaded = new Set<string>();
 	#isLoaded = false;
 
 	constructor(private readonly deps: CrashArchiveDeps) {}
 
-	/** Records that this host has seen something of requests itself. */
 	recordOwn(requests: readonly string[]): void {
 		if (!this.deps.crashHistorySource) {
 			return;
@@ -61,7 +63,6 @@
 		}
 	}
 
-	/** Records that something is known now that other hosts have seen. */
 	recordKnown(requests: readonly string[]): void {
 		this.recordOwn(requests.filter(request => this.#own.has(request)));
 	}
@@ -106,6 +107,7 @@
 
 		for (const {trials} of histories) {
 			crashes.recordPeerTrials(trials, clock.monotonic());
+			this.#loaded.add(trials.request);
 		}
 
 		if (entries.length > 0) {
@@ -170,7 +172,8 @@
 			this.#due.delete(request);
 			const history = crashes.describe(request, clock.monotonic());
 			const writtenText = this.#own.get(request);
-			if (history && (writtenText !== undefined || isEvident(history)) && identify(history) !== writtenText) {
+			const hasEntry = writtenText !== undefined || this.#loaded.has(request);
+			if (history && (hasEntry || isEvident(history)) && identify(history) !== writtenText) {
 				changes.push({entry: toEntry(history, hostHash, clock.now()), text: identify(history)});
 			}
 		}
--- a/packages/entry/src/request/crash-guard.ts
+++ b/packages/entry/src/request/crash-guard.ts
@@ -4,7 +4,6 @@
 } from '@apricotwood/steering';
 import {hashText} from '@apricotwood/routing';
 import type {Log} from '@apricotwood/telemetry';
-import type {CrashArchive} from '../host/crash-archive.js';
 import type {RequestFingerprint} from './fingerprint.js';
 import {RejectionCode, createNotRunRejection, type Rejection} from './rejection.js';
 import {ServedRequests} from './served-requests.js';
@@ -16,6 +15,14 @@
 	stop(): void;
 }
 
+/** Keeps the histories of requests that crash workers. */
+export interface CrashHistoryKeeper {
+	/** Records that this host has seen a crash, a trial or a response of requests itself. */
+	recordOwn(requests: readonly string[]): void;
+	/** Records that something is known of requests now that other hosts may have seen. */
+	recordKnown(requests: readonly string[]): void;
+}
+
 /** Dependencies of `CrashGuard`. */
 export type CrashGuardDeps = {
 	readonly clock: Clock;
@@ -28,8 +35,7 @@
 	readonly canSendTrials: () => boolean;
 	/** Called when what is known of crashes has changed, so that the peers are told. */
 	readonly onChange: () => void;
-	/** Keeps what is known. */
-	readonly archive: CrashArchive;
+	readonly archive: CrashHistoryKeeper;
 };
 
 /** `Retry-After` of a suspect while another copy of it is in progress, ms. */
--- a/test/entry/crash-archive.test.ts
+++ b/test/entry/crash-archive.test.ts
@@ -165,6 +165,25 @@
 	assert.equal(source.entries.has('once 2'), false);
 });
 
+test('crash archive: a response outweighs what hosts have kept that no longer run', async t => {
+	const clock = new FakeClock();
+	const source = new MemorySource();
+	const earlier = startHost(t, clock, source, 1);
+	for (const worker of [11, 12, 13]) {
+		crash(earlier, 'repaired', worker, clock);
+	}
+
+	await settle(clock);
+	const host = startHost(t, clock, source, 2);
+	await settle(clock);
+	host.crashes.recordResponse('repaired', clock.monotonic());
+	host.archive.recordOwn(['repaired']);
+	await settle(clock);
+	const restarted = startHost(t, clock, source, 3);
+	await settle(clock);
+	assert.equal(restarted.crashes.countCrashes('repaired'), 0);
+});
+
 test('crash archive: what could not be written is written later', async t => {
 	const clock = new FakeClock();
 	const source = new MemorySource();
