--- a/review/rig-3/rig.mjs
+++ b/review/rig-3/rig.mjs
@@ -97,7 +97,7 @@
 
 			const req = request({
 				host: host.options.ip, port: 8641, method, path: url, agent, localAddress, setHost: false,
-				headers: {host: name, 'request-id': id, 'request-deadline-ms': String(waitsMs), ...headers, ...(body === undefined || isChunked ? {} : {'content-length': body.length})},
+				headers: {host: name, 'request-id': id, 'request-deadline-ms': String(waitsMs), ...headers, ...formatLength(body, isChunked)},
 			}, res => {
 				call.status = res.statusCode;
 				call.signature = res.headers['server-signature'];
@@ -160,3 +160,11 @@
 	console.log(verdict.join('\n'));
 	process.exit(code);
 }
+
+function formatLength(body, isChunked) {
+	if (isChunked) {
+		return {'transfer-encoding': 'chunked'};
+	}
+
+	return body === undefined ? {} : {'content-length': Buffer.byteLength(body)};
+}
--- a/review/rig-3/worker.mjs
+++ b/review/rig-3/worker.mjs
@@ -121,7 +121,7 @@
 			return;
 		}
 
-		const id = req.headers['request-id'];
+		const id = req.headers['request-id'] ?? '';
 		const digest = createHash('sha256');
 		let bytes = 0;
 		try {
