--- a/review/rig-3/worker.mjs
+++ b/review/rig-3/worker.mjs
@@ -1,15 +1,19 @@
 /* eslint-disable camelcase, no-void -- the names of the pages; steps that follow each other; the exit code is the result */
 // Stand-in of a worker: a server with slots and a queue that registers itself in the store and reports there regularly.
+import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import {createServer} from 'node:http';
 
 const HEARTBEAT_MS = 1500;
+/** Silence after which the store removes the entry of a worker, ms: three heartbeats. */
+const LAPSE_MS = 3 * HEARTBEAT_MS;
 
 export class Worker {
 	#sockets = new Set();
 	#server;
 	#port = 0;
 	#timer;
+	#lapse;
 	#sequence = 0;
 	#born = Date.now();
 	#running = 0;
@@ -18,12 +22,16 @@
 	/** Requests that arrived for this worker: `{id, url, atMs, ran}`. */
 	arrivals = [];
 	state = 'ready';
+	/** Whether the store rejects the reports of this worker. */
+	isRejected = false;
 	/** Headers of all answers. */
 	extraHeaders = {};
+	/** Line that the heads of its answers have besides, as bytes. */
+	rawHeader;
 	coldMs = 0;
 
 	/**
-	 * @param options `store`, `id`, `ip`, `service`, `zone`, `slots`, `workMs`;
+	 * @param options `store`, `id`, `ip`, `service`, `zone`, `slots`, `workMs`, `fillerBytes`;
 	 * `onRun(run)` is called as a request begins to run and may return `true` if it has taken over the answer.
 	 */
 	constructor(options) {
@@ -63,9 +71,18 @@
 		this.#timer = setInterval(() => this.report(), HEARTBEAT_MS);
 	}
 
-	/** Writes the entry. */
+	/** Writes the entry, unless the store rejects this worker. */
 	report() {
 		this.#sequence++;
+		if (this.isRejected) {
+			return;
+		}
+
+		clearTimeout(this.#lapse);
+		this.#lapse = setTimeout(() => {
+			this.options.onLapse?.(this);
+			this.options.store.remove('servers', this.id);
+		}, LAPSE_MS);
 		const {store, service, zone, slots} = this.options;
 		store.put('servers', this.id, {
 			addr: this.registeredAddress,
@@ -106,6 +123,7 @@
 
 	stop() {
 		this.isStopped = true;
+		clearTimeout(this.#lapse);
 		if (this.#isUp) {
 			this.end();
 		}
@@ -191,7 +209,14 @@
 
 	/** Answers with the worker's whole body. */
 	answer({id, res, method, url, digest}) {
-		const body = `${method} ${url} ${digest}`;
+		const body = `${method} ${url} ${digest}${' '.repeat(this.options.fillerBytes ?? 0)}`;
+		if (this.rawHeader) {
+			// Node's own server does not write such a line.
+			const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nServer-Signature: sig-${this.id}\r\nContent-Length: ${body.length}\r\nConnection: close\r\n`;
+			res.socket?.end(Buffer.concat([Buffer.from(head), this.rawHeader, Buffer.from(`\r\n\r\n${body}`)]));
+			return;
+		}
+
 		res.writeHead(200, {'request-id': id, 'server-signature': `sig-${this.id}`, 'server-load': this.#load, 'content-length': body.length, ...this.extraHeaders});
 		res.end(body);
 	}
