--- a/review/rig-3/rig.mjs
+++ b/review/rig-3/rig.mjs
@@ -143,14 +143,38 @@
 	}
 }
 
-/** Runs a case. @param play resolves with `{isBroken, lines}`. */
+/** Longest time of a case, ms. */
+const MAX_CASE_MS = 110_000;
+const ExitCode = {held: 0, broken: 1, notRun: 2};
+
+/**
+ * Runs a case and ends the process with its exit code.
+ * @param play resolves with `{isBroken, lines, servedCount}`; a case in which no call was served could not run.
+ */
 export async function runCase(recordPath, play) {
 	const rig = new Rig(recordPath);
-	let code = 2;
+	const giveUp = reason => {
+		console.error(`the case could not run: ${reason}`);
+		rmSync(rig.directory, {recursive: true, force: true});
+		process.exit(ExitCode.notRun);
+	};
+
+	process.on('uncaughtException', error => giveUp(error.stack));
+	process.on('unhandledRejection', error => giveUp(error?.stack));
+	for (const name of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+		process.on(name, () => giveUp(name));
+	}
+
+	setTimeout(() => giveUp(`it takes longer than ${MAX_CASE_MS} ms`), MAX_CASE_MS).unref();
+	let code = ExitCode.notRun;
 	let verdict;
 	try {
-		const {isBroken, lines} = await play(rig);
-		code = isBroken ? 1 : 0;
+		const {isBroken, lines, servedCount} = await play(rig);
+		if (servedCount === 0) {
+			throw new Error('no call was served');
+		}
+
+		code = isBroken ? ExitCode.broken : ExitCode.held;
 		verdict = [`disruption: ${hasTrouble ? 'played' : 'not played'}`, `rule: ${isBroken ? 'BROKEN' : 'held'}`, ...lines];
 	} catch (error) {
 		verdict = [`the case could not run: ${error.stack}`];
